--- /dev/null
+++ b/cli/src/bin/fulmarford/adapter.rs
@@ -0,0 +1,68 @@
+//! The daemon on a platform that an adapter translates for.
+
+use std::fs;
+use std::sync::Arc;
+
+use eyre::Context as _;
+use fulmarford_lib::node::Node;
+use fulmarford_lib::settings::Flags;
+use fulmarford_platform::PlatformDialect;
+use signal_hook::consts::SIGHUP;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+
+use crate::LOG_FILTER;
+
+/// Lines held for the writer of the log; further ones are dropped and counted.
+const LOG_LINES: usize = 8_192;
+
+/// Name of the only adapter.
+const PLATFORM: &str = "platform";
+
+/// Runs the daemon until it is told to stop.
+pub(crate) fn run(name: &str, flags: &Flags) -> eyre::Result<()> {
+    eyre::ensure!(
+        name == PLATFORM,
+        "--adapter: expected `{PLATFORM}`, found {name:?}"
+    );
+    let (writer, guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
+        .buffered_lines_limit(LOG_LINES)
+        .lossy(true)
+        .finish(std::io::stdout());
+    let dropped = writer.error_counter();
+    tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_env_filter(tracing_subscriber::EnvFilter::new(LOG_FILTER))
+        .with_writer(writer)
+        .init();
+    // Signals are registered first, so that one during startup is not lost.
+    let mut signals =
+        Signals::new([SIGTERM, SIGINT, SIGHUP]).wrap_err("cannot register signals")?;
+    let secrets = match &flags.peer_secret_file {
+        Some(file) => fs::read_to_string(file).wrap_err("--peer-secret-file")?,
+        None => eyre::bail!("--peer-secret-file is missing: instances must know each other"),
+    };
+    let port = flags.metrics_port.as_deref().map(str::parse).transpose();
+    let port = port.wrap_err("--metrics-port")?;
+    let settings = fulmarford_platform::settings::read(port, secrets)?;
+    let dialect = PlatformDialect {
+        window: settings.terms.length,
+    };
+    let node = Node::start(settings, Arc::new(dialect))?;
+    for signal in signals.forever() {
+        if signal == SIGHUP {
+            // Addresses and roles are fixed for the life of a process; members are learned from
+            // the group, so changed seeds matter at the next start only.
+            tracing::info!("settings may have changed");
+            continue;
+        }
+        tracing::info!(signal, "shutting down");
+        break;
+    }
+    node.stop();
+    tracing::info!(dropped_lines = dropped.dropped_lines(), "end of the log");
+    drop(guard);
+    Ok(())
+}
--- a/cli/src/bin/fulmarford.rs
+++ b/cli/src/bin/fulmarford/main.rs
@@ -1,5 +1,7 @@
 //! The fulmarford daemon, which every instance runs.
 
+mod adapter;
+
 use std::collections::BTreeMap;
 use std::fs;
 use std::io;
@@ -12,6 +14,7 @@
 use eyre::Context as _;
 use fulmarford_lib::clock::SystemClock;
 use fulmarford_lib::cluster_control::ClusterControl;
+use fulmarford_lib::command::UsageTerms;
 use fulmarford_lib::control_core::PeerAddress;
 use fulmarford_lib::control_thread;
 use fulmarford_lib::control_thread::ControlThread;
@@ -62,6 +65,9 @@
 
 fn main() -> eyre::Result<()> {
     let flags = Flags::parse_args_default_or_exit();
+    if let Some(name) = &flags.adapter {
+        return adapter::run(name, &flags);
+    }
     let settings = Settings::check(flags, |name| std::env::var(name).ok())?;
     tracing_subscriber::fmt()
         .json()
@@ -205,6 +211,8 @@
         listener,
         address,
         peers,
+        discover: false,
+        terms: UsageTerms::default(),
         store: open_store(settings)?,
         bootstrap: settings.bootstrap,
         rules,
--- a/lib/benches/overhead.rs
+++ b/lib/benches/overhead.rs
@@ -234,6 +234,7 @@
         headers,
         body: body.to_string().into(),
         pooled: true,
+        echo: None,
     }
 }
 
--- a/lib/src/attempt.rs
+++ b/lib/src/attempt.rs
@@ -140,6 +140,7 @@
             headers,
             body,
             pooled,
+            echo: None,
         };
         let sent = self.client.send(call);
         let now = self.gateway.now();
@@ -158,7 +159,7 @@
                 Ok(answer)
             }
             Ok(Err(CallError::Unreachable(_))) => Err(Failure::unreachable()),
-            Ok(Err(CallError::Failed(_))) => Err(Failure::broken()),
+            Ok(Err(CallError::Failed(_) | CallError::Crossed)) => Err(Failure::broken()),
             Err(interrupt) => Err(Failure::interrupted(&interrupt)),
         }
     }
--- a/lib/src/command.rs
+++ b/lib/src/command.rs
@@ -14,6 +14,11 @@
 use crate::ids::RequestId;
 use crate::ids::WorkspaceId;
 use crate::ids::ZoneId;
+use crate::rules::Document;
+use crate::rules::Rule;
+use crate::rules::RuleBody;
+use crate::rules::RuleKey;
+use crate::rules::RuleKind;
 use crate::view::Edit;
 use crate::view::Version;
 
@@ -115,6 +120,49 @@
         /// How it ended.
         state: OrderState,
     },
+    /// Replaces the configuration document, unless the held one has this revision or a higher one.
+    ReplaceDocument(Document),
+    /// Returns the configuration document as of this place in the log, which no earlier read and no
+    /// acknowledged change can be newer than.
+    ReadDocument,
+    /// Sets the length of usage windows.
+    SetUsageTerms(UsageTerms),
+}
+
+impl Command {
+    /// Returns the edits of the rules that this command makes when it is accepted.
+    pub fn edits(&self) -> Vec<Edit> {
+        match self {
+            Self::Apply(change) => change.edits.clone(),
+            Self::ReplaceDocument(document) => vec![document_edit(document)],
+            _ => Vec::new(),
+        }
+    }
+}
+
+/// Returns the edit that puts a document in place of the one before.
+pub fn document_edit(document: &Document) -> Edit {
+    Edit::Set(Rule {
+        key: RuleKey {
+            kind: RuleKind::Document,
+            name: DOCUMENT_NAME.to_owned(),
+        },
+        body: RuleBody::Document(document.clone()),
+        asker: String::new(),
+        line: String::new(),
+    })
+}
+
+/// Name of the only document.
+const DOCUMENT_NAME: &str = "configuration";
+
+/// Length of usage windows, which all replicas must agree on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageTerms {
+    /// Length of a window in seconds, at least 1.
+    pub length: u64,
+    /// Time in seconds after its end at which a window is frozen.
+    pub grace: u64,
 }
 
 /// A change of the rules.
@@ -335,4 +383,6 @@
     },
     /// The command was applied.
     Done,
+    /// The configuration document, if there is one.
+    Document(Option<Document>),
 }
--- a/lib/src/control_answer.rs
+++ b/lib/src/control_answer.rs
@@ -14,6 +14,7 @@
 use crate::control_core::Core;
 use crate::control_core::MAX_SUBMIT;
 use crate::control_core::POLL_HOLD;
+use crate::control_core::whereabouts;
 use crate::control_shared::remaining;
 use crate::dissemination::Publisher;
 use crate::ids::InstanceId;
@@ -95,12 +96,15 @@
         let update = publisher.answer(now, poll, age).map_err(|_| NotLeading)?;
         let chunks = self.grant(publisher, now, age, &poll.poller.instance, &request.demand);
         let entries = self.count_entries(publisher, now);
+        let members = voter.raft().members().iter();
+        let members = members.map(|(_, member)| member.address.clone()).collect();
         Ok(Some(PollResponse::News(Box::new(News {
             update,
             suspects: changed.then(|| Suspects::of(voter.state().suspects())),
             usage,
             chunks,
             entries,
+            members,
         }))))
     }
 
@@ -168,7 +172,10 @@
 
     fn answer_join(&self, request: &JoinRequest) -> JoinResponse {
         if let Some(opened) = self.opened.borrow().as_ref() {
-            return JoinResponse::Fresh(opened.id);
+            return JoinResponse::Fresh {
+                id: opened.id,
+                instance: self.me.instance.clone(),
+            };
         }
         let mut voter = self.voter.borrow_mut();
         let Some(voter) = voter.as_mut() else {
@@ -187,8 +194,12 @@
             }
             self.kick.notify_one();
         }
+        let leader = voter.raft().leader();
+        let leader = leader.and_then(|id| voter.raft().members().get(id));
         JoinResponse::Grouped {
             member: voter.raft().members().get(request.id).is_some(),
+            leader: leader.map(whereabouts),
+            founders: voter.founders(),
         }
     }
 }
--- a/lib/src/control_core.rs
+++ b/lib/src/control_core.rs
@@ -4,6 +4,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -83,12 +84,24 @@
     pub address: SocketAddr,
 }
 
+/// How an instance finds the others.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    /// The voters, or with `discover` some instances through which the group is found.
+    pub list: Vec<PeerAddress>,
+    /// Whether the members are learned from the group.
+    pub discover: bool,
+}
+
 /// State of the control thread.
 pub struct Core {
     pub(crate) me: Incarnation,
     pub(crate) identity: Identity,
     pub(crate) address: SocketAddr,
     pub(crate) peers: Vec<PeerAddress>,
+    discover: bool,
+    /// Addresses of the members, as a leader told them.
+    learned: RefCell<Vec<SocketAddr>>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) shared: Arc<Shared>,
     pub(crate) opened: RefCell<Option<Opened>>,
@@ -117,7 +130,7 @@
         me: Incarnation,
         identity: Identity,
         address: SocketAddr,
-        peers: Vec<PeerAddress>,
+        peers: Peers,
         clock: Arc<dyn Clock>,
         shared: Arc<Shared>,
     ) -> Rc<Self> {
@@ -126,7 +139,9 @@
             me,
             identity,
             address,
-            peers,
+            peers: peers.list,
+            discover: peers.discover,
+            learned: RefCell::default(),
             clock,
             shared,
             opened: RefCell::default(),
@@ -172,8 +187,36 @@
         known.or_else(|| self.hint.borrow().clone())
     }
 
+    /// Tells whether the members are learned from the group.
+    pub(crate) fn discovers(&self) -> bool {
+        self.discover
+    }
+
+    /// Notes where the members are, for the time when the configured addresses are gone.
+    pub(crate) fn learn_members(&self, members: &[String]) {
+        if self.discover {
+            let addresses = members.iter().filter_map(|address| address.parse().ok());
+            *self.learned.borrow_mut() = addresses.collect();
+        }
+    }
+
+    /// Returns the addresses at which voters may be: learned ones first, then configured ones.
+    pub(crate) fn upstreams(&self) -> Vec<SocketAddr> {
+        let mut addresses = self.learned.borrow().clone();
+        if self.discover
+            && let Some(voter) = self.voter.borrow().as_ref()
+        {
+            let members = voter.raft().members().iter();
+            addresses.extend(members.filter_map(|(_, m)| m.address.parse::<SocketAddr>().ok()));
+        }
+        addresses.extend(self.peers.iter().map(|peer| peer.address));
+        let mut seen = BTreeSet::new();
+        addresses.retain(|address| *address != self.address && seen.insert(*address));
+        addresses
+    }
+
     /// Returns the address for a member: the configured one of its name, or the stated one.
-    fn resolve(&self, place: &Whereabouts) -> Option<SocketAddr> {
+    pub(crate) fn resolve(&self, place: &Whereabouts) -> Option<SocketAddr> {
         let configured = self.peers.iter().find(|peer| peer.name == place.instance);
         match configured {
             Some(peer) => Some(peer.address),
@@ -193,12 +236,7 @@
         if leader.is_some() && leader != failed {
             return leader;
         }
-        let addresses: Vec<_> = self
-            .peers
-            .iter()
-            .map(|peer| peer.address)
-            .filter(|address| *address != self.address)
-            .collect();
+        let addresses = self.upstreams();
         let start = failed
             .and_then(|failed| addresses.iter().position(|address| *address == failed))
             .map_or(0, |position| position + 1);
@@ -500,7 +538,7 @@
     }
 }
 
-fn whereabouts(member: &Member) -> Whereabouts {
+pub(crate) fn whereabouts(member: &Member) -> Whereabouts {
     Whereabouts {
         instance: member.instance.clone(),
         address: member.address.clone(),
@@ -516,6 +554,9 @@
             | Command::FinishIntent(_)
             | Command::ReleaseIntent(_)
             | Command::AddUsage(_)
+            | Command::ReplaceDocument(_)
+            | Command::ReadDocument
+            | Command::SetUsageTerms(_)
     )
 }
 
--- a/lib/src/control_shared.rs
+++ b/lib/src/control_shared.rs
@@ -23,6 +23,7 @@
 use crate::command::Command;
 use crate::command::LeaseKind;
 use crate::command::Reply;
+use crate::command::UsageTerms;
 use crate::command::Window;
 use crate::control::SubmitError;
 use crate::control::Suspicion;
@@ -83,13 +84,13 @@
 
 impl Shared {
     /// Creates the state, and the end of the channel that the control thread reads.
-    pub fn new() -> (Arc<Self>, Receiver<Request>) {
+    pub fn new(terms: UsageTerms) -> (Arc<Self>, Receiver<Request>) {
         let (queue, requests) = bounded(MAX_REQUESTS);
         let shared = Self {
             published: ShardedLock::default(),
             suspects: ShardedLock::default(),
             shares: Shares::default(),
-            usage: UsageCounter::default(),
+            usage: UsageCounter::new(terms),
             status: Mutex::default(),
             entries: AtomicU32::new(0),
             queue,
--- a/lib/src/control_thread.rs
+++ b/lib/src/control_thread.rs
@@ -3,6 +3,7 @@
 //! It runs on a thread of its own with a current-thread runtime. Traffic threads reach it through
 //! [`crate::cluster_control`].
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -27,10 +28,12 @@
 use crate::command::Command;
 use crate::command::Incarnation;
 use crate::command::Reply;
+use crate::command::UsageTerms;
 use crate::control_core::Core;
 use crate::control_core::POLL_HOLD;
 use crate::control_core::POLL_TIMEOUT;
 use crate::control_core::PeerAddress;
+use crate::control_core::Peers;
 use crate::control_core::pause_before_retry;
 use crate::control_shared::LeaseStatus;
 use crate::control_shared::MemberStatus;
@@ -79,8 +82,12 @@
     pub listener: std::net::TcpListener,
     /// The address under which peers reach this instance.
     pub address: SocketAddr,
-    /// The voters.
+    /// The voters, or with `discover` some instances through which the group is found.
     pub peers: Vec<PeerAddress>,
+    /// Whether `peers` are only a start: the members are learned from the group.
+    pub discover: bool,
+    /// Length of usage windows.
+    pub terms: UsageTerms,
     /// Storage of a voter.
     pub store: Option<Box<dyn LogStore + Send>>,
     /// Whether the voters form a new group if none of them has one.
@@ -109,7 +116,7 @@
             instance: config.instance.clone(),
             number: rand::rng().random(),
         };
-        let (shared, requests) = Shared::new();
+        let (shared, requests) = Shared::new(config.terms);
         let control = ClusterControl::new(me.clone(), shared.clone(), config.clock.clone());
         config.listener.set_nonblocking(true)?;
         let handle = shared.clone();
@@ -165,7 +172,10 @@
         me,
         identity.clone(),
         config.address,
-        config.peers,
+        Peers {
+            list: config.peers,
+            discover: config.discover,
+        },
         config.clock,
         shared.clone(),
     );
@@ -374,6 +384,7 @@
     core.publish();
     core.shared.shares.receive(sent, &news.chunks);
     core.shared.set_entries(news.entries);
+    core.learn_members(&news.members);
     core.notify_news();
     if let Some(suspects) = &news.suspects {
         core.install_suspects(suspects);
@@ -428,8 +439,13 @@
                 continue;
             };
             voter.promote_learners(now);
+            if core.discovers() {
+                voter.remove_failed(now);
+            }
             let id = voter.id();
-            voter.raft().members().get(id).is_none().then_some(id)
+            // A voter that was removed while it was cut off hears from no leader and does not know.
+            let lost = core.discovers() && voter.raft().leader().is_none();
+            (lost || voter.raft().members().get(id).is_none()).then_some(id)
         };
         if let Some(id) = outside {
             ask_to_join(&core, id).await;
@@ -440,11 +456,18 @@
 
 /// Asks the leader to add the own identity as a learner.
 async fn ask_to_join(core: &Rc<Core>, id: MemberId) {
-    for peer in core.peers.clone() {
-        if peer.address == core.address {
+    let mut addresses = core.upstreams();
+    // Only the leader adds members, and it need not be among the known addresses.
+    let leader = core.leader().and_then(|leader| core.resolve(&leader));
+    addresses.extend(leader.filter(|address| !addresses.contains(address)));
+    let mut asked = BTreeSet::new();
+    while let Some(address) = addresses.pop() {
+        if address == core.address || !asked.insert(address) {
             continue;
         }
-        let _ = introduce(core, id, peer.address).await;
+        if let Some(JoinResponse::Grouped { leader, .. }) = introduce(core, id, address).await {
+            addresses.extend(leader.and_then(|leader| core.resolve(&leader)));
+        }
     }
 }
 
@@ -470,26 +493,42 @@
         };
         let mut fresh = vec![(id, core.me.instance.clone(), core.address.to_string())];
         let mut grouped = false;
+        let mut founded = None;
         for peer in core.peers.clone() {
             if peer.address == core.address {
                 continue;
             }
             match introduce(&core, id, peer.address).await {
-                Some(JoinResponse::Fresh(id)) => {
-                    fresh.push((id, peer.name, peer.address.to_string()));
+                Some(JoinResponse::Fresh { id, instance }) => {
+                    fresh.push((id, instance, peer.address.to_string()));
+                }
+                Some(JoinResponse::Grouped {
+                    member, founders, ..
+                }) => {
+                    grouped = true;
+                    founded = founded.or(founders.filter(|_| member));
                 }
-                Some(JoinResponse::Grouped { .. }) => grouped = true,
                 Some(JoinResponse::NotVoter) | None => {}
             }
         }
-        let alone = core.peers.iter().all(|peer| peer.address == core.address);
-        let complete = alone || fresh.len() == core.peers.len();
+        tracing::debug!(fresh = fresh.len(), grouped, "looked for the group");
+        let is_me = |peer: &PeerAddress| peer.address == core.address;
+        let alone = !core.discovers() && core.peers.iter().all(is_me);
+        // Those that the seeds do not name wait for the group and join it.
+        let founder = !core.discovers() || core.peers.iter().any(is_me);
+        let complete = alone || (founder && fresh.len() == core.peers.len());
         if grouped || (complete && (bootstrap || alone)) {
             let Some(mut opened) = core.opened.borrow_mut().take() else {
                 return;
             };
-            let members = Membership::of_voters(fresh);
-            if !grouped && let Err(error) = opened.bootstrap(members) {
+            // One that only joined would not vote, and the founder could not win an election.
+            let members = match founded.filter(|_| bootstrap) {
+                Some(members) if members.voters().count() == core.peers.len() => Some(members),
+                _ => (!grouped).then(|| Membership::of_voters(fresh)),
+            };
+            if let Some(members) = members
+                && let Err(error) = opened.bootstrap(members)
+            {
                 return refuse_to_vote(&core, &error);
             }
             return start_voter(&core, opened);
--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -122,6 +122,7 @@
             headers: HeaderMap::new(),
             body: Bytes::new(),
             pooled: false,
+            echo: None,
         };
         let answer = tokio::time::timeout(PROBE_TIMEOUT, Client::default().send(call)).await;
         matches!(answer, Ok(Ok(answer)) if answer.status == 200)
--- /dev/null
+++ b/lib/src/discovery.rs
@@ -0,0 +1,144 @@
+//! Reads the platform's list of endpoints for this instance.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::clock::Clock;
+use crate::cluster_control::ClusterControl;
+use crate::control::Control;
+use crate::dialect::Dialect;
+use crate::dialect::ListedEndpoint;
+use crate::fleet::Fleet;
+use crate::platform::Platform;
+
+/// Shortest interval between two readings; a leaving endpoint is then known well before the
+/// platform's bound of some seconds.
+const PERIOD: Duration = Duration::from_millis(900);
+
+/// Interval after a failed reading.
+const RETRY: Duration = Duration::from_millis(300);
+
+/// Part of the platform's rate of calls that readings of the list may take.
+const RATE_SHARE: f64 = 0.6;
+
+/// Pages that are read at most; it bounds a list whose pages lead in a circle.
+const MAX_PAGES: usize = 1_000;
+
+/// What the reader needs.
+pub struct Config {
+    /// Address of the platform interface.
+    pub platform: SocketAddr,
+    /// Calls a second that the platform accepts from all instances together.
+    pub rate: f64,
+    /// The platform's wire.
+    pub dialect: Arc<dyn Dialect>,
+    /// Source of time.
+    pub clock: Arc<dyn Clock>,
+    /// Tells how many instances share the rate.
+    pub control: ClusterControl,
+    /// Takes the list.
+    pub fleet: Arc<Mutex<Fleet>>,
+}
+
+/// A running reader.
+#[derive(Debug)]
+pub struct Discovery {
+    stopped: Arc<AtomicBool>,
+    thread: JoinHandle<()>,
+}
+
+impl Discovery {
+    /// Starts the thread.
+    pub fn start(config: Config) -> std::io::Result<Self> {
+        let stopped = Arc::new(AtomicBool::new(false));
+        let flag = stopped.clone();
+        let thread = thread::Builder::new()
+            .name("discovery".to_owned())
+            .spawn(move || run(&config, &flag))?;
+        Ok(Self { stopped, thread })
+    }
+
+    /// Ends the thread after the call in flight.
+    pub fn stop(self) {
+        self.stopped.store(true, Ordering::Relaxed);
+        self.thread.thread().unpark();
+        if self.thread.join().is_err() {
+            tracing::error!("the reader of the endpoint list panicked");
+        }
+    }
+}
+
+fn run(config: &Config, stopped: &AtomicBool) {
+    let platform = Platform::new(config.platform, config.clock.clone());
+    let mut available = true;
+    while !stopped.load(Ordering::Relaxed) {
+        let pause = match read(config, &platform) {
+            Ok((list, pages)) => {
+                if !std::mem::replace(&mut available, true) {
+                    tracing::info!("the endpoint list can be read again");
+                }
+                install(config, list);
+                pause(config, pages)
+            }
+            Err(error) => {
+                if std::mem::replace(&mut available, false) {
+                    tracing::warn!(%error, "cannot read the endpoint list");
+                }
+                RETRY
+            }
+        };
+        thread::park_timeout(pause.mul_f64(rand::rng().random_range(0.9..1.1)));
+    }
+}
+
+/// Returns the interval that keeps all instances together below the platform's rate.
+fn pause(config: &Config, pages: usize) -> Duration {
+    let entries = f64::from(config.control.entries().max(1));
+    let least = entries * pages as f64 / (config.rate * RATE_SHARE).max(0.1);
+    PERIOD.max(Duration::from_secs_f64(least))
+}
+
+fn install(config: &Config, list: Vec<ListedEndpoint>) {
+    let now = config.clock.now();
+    let mut fleet = config.fleet.lock().expect("fleet lock poisoned");
+    let changes = fleet.install(now, list);
+    drop(fleet);
+    for change in changes {
+        tracing::info!(
+            endpoint = %change.endpoint,
+            service = %change.service,
+            state = change.state,
+            "endpoint list changed"
+        );
+    }
+}
+
+/// Reads all pages.
+pub fn read(
+    config: &Config,
+    platform: &Platform,
+) -> Result<(Vec<ListedEndpoint>, usize), Box<dyn std::error::Error>> {
+    let mut list = Vec::new();
+    let mut next: Option<String> = None;
+    for pages in 1..=MAX_PAGES {
+        let call = config.dialect.list_call(next.as_deref());
+        let page = config.dialect.list_page(&platform.read(&call)?)?;
+        if page.skipped > 0 {
+            tracing::debug!(skipped = page.skipped, "unreadable entries of the list");
+        }
+        list.extend(page.endpoints);
+        next = page.next;
+        if next.is_none() {
+            return Ok((list, pages));
+        }
+    }
+    Err("the list has no end".into())
+}
--- a/lib/src/dissemination.rs
+++ b/lib/src/dissemination.rs
@@ -19,6 +19,7 @@
 use serde::Serialize;
 
 use crate::command::Incarnation;
+use crate::rule_state::edit_weight;
 use crate::rules::RuleKey;
 use crate::view::Edit;
 use crate::view::Version;
@@ -31,6 +32,9 @@
 /// Number of edits kept for deltas; a poller that is further behind gets the whole view.
 pub const HISTORY_EDITS: usize = 4_096;
 
+/// Bytes of edits kept for deltas; a few documents of the largest size seen, 400 KB.
+pub const HISTORY_BYTES: usize = 4 << 20;
+
 /// A question for changes of the view.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Poll {
@@ -92,6 +96,8 @@
     epoch: u64,
     view: Arc<View>,
     history: VecDeque<(Version, Edit)>,
+    /// Bytes of the history.
+    weight: usize,
     base: Version,
     grants: HashMap<Incarnation, Vec<Grant>>,
     earliest: Option<Instant>,
@@ -122,6 +128,7 @@
             base: view.version(),
             view,
             history: VecDeque::new(),
+            weight: 0,
             grants: HashMap::new(),
             earliest: None,
             settled: Version(0),
@@ -154,11 +161,14 @@
         self.history
             .extend(edits.into_iter().map(|edit| (version, edit)));
         self.view = view;
-        while self.history.len() > HISTORY_EDITS {
+        self.weight = self.history.iter().map(|(_, e)| edit_weight(e)).sum();
+        while self.history.len() > HISTORY_EDITS || self.weight > HISTORY_BYTES {
             // Edits of one version are dropped together, so that no delta is partial.
-            let oldest = self.history[0].0;
-            while self.history.front().is_some_and(|(v, _)| *v == oldest) {
-                self.history.pop_front();
+            let Some(oldest) = self.history.front().map(|(version, _)| *version) else {
+                break;
+            };
+            while let Some((_, edit)) = self.history.pop_front_if(|(v, _)| *v == oldest) {
+                self.weight -= edit_weight(&edit);
             }
             self.base = oldest;
         }
--- /dev/null
+++ b/lib/src/event_cutter.rs
@@ -0,0 +1,70 @@
+//! Cuts a stream of server-sent events into whole events and remembers the last one.
+//!
+//! A stream that goes on at another endpoint must continue after a whole event, but an endpoint may
+//! break off in the middle of one.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+
+/// Holds the part of an event that has not arrived whole.
+#[derive(Debug, Default)]
+pub struct EventCutter {
+    partial: BytesMut,
+    last: Option<String>,
+    /// Events up to this number were passed on before the stream went on elsewhere.
+    passed: Option<u64>,
+}
+
+impl EventCutter {
+    /// Takes in bytes and returns those that complete events.
+    pub fn push(&mut self, bytes: Bytes) -> Bytes {
+        self.partial.extend_from_slice(&bytes);
+        let Some(end) = memchr::memmem::rfind(&self.partial, b"\n\n") else {
+            return Bytes::new();
+        };
+        let whole = self.partial.split_to(end + 2).freeze();
+        let whole = self.drop_repeated(whole);
+        if let Some(id) = last_id(&whole) {
+            self.last = Some(id.to_owned());
+        }
+        whole
+    }
+
+    /// Removes events that the caller has already, which a repeated stream may begin with.
+    fn drop_repeated(&self, mut events: Bytes) -> Bytes {
+        let Some(passed) = self.passed else {
+            return events;
+        };
+        while let Some(end) = memchr::memmem::find(&events, b"\n\n") {
+            let number = last_id(&events[..end + 2]).and_then(|id| id.parse::<u64>().ok());
+            if number.is_none_or(|number| number > passed) {
+                break;
+            }
+            let _ = events.split_to(end + 2);
+        }
+        events
+    }
+
+    /// Forgets the part of an event that broke off, before the stream goes on elsewhere.
+    pub fn restart(&mut self) {
+        self.partial.clear();
+        self.passed = self.last.as_deref().and_then(|id| id.parse().ok());
+    }
+
+    /// Returns the id of the last whole event.
+    pub fn last(&self) -> Option<&str> {
+        self.last.as_deref()
+    }
+
+    /// Tells whether a part of an event is held.
+    pub fn is_partial(&self) -> bool {
+        !self.partial.is_empty()
+    }
+}
+
+/// Returns the id of the last event that has one.
+fn last_id(events: &[u8]) -> Option<&str> {
+    let lines = events.rsplit(|byte| *byte == b'\n');
+    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    std::str::from_utf8(id).ok().map(str::trim)
+}
--- /dev/null
+++ b/lib/src/fleet.rs
@@ -0,0 +1,508 @@
+//! Choice of an endpoint for a request, from what this instance has seen of each endpoint.
+//!
+//! The decision is pure. It answers these load patterns (`docs/platform.md`):
+//!
+//! * A burst of long prompts: prompts that an engine has still to read delay everybody on it, so the
+//!   unread tokens sent there count as waiting time, and short requests pass to other engines.
+//! * Sessions that share a prompt: an engine that read the shared part answers sooner, as long as
+//!   its queue is short; an unknown part is given a home by rendezvous hashing, on which all
+//!   instances agree without a message.
+//! * Endpoints that fail, refuse or fall silent: recent failures and unanswered calls count as
+//!   waiting time, which fades, so that an endpoint is neither used at once nor lost for good.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::affinity;
+use crate::dialect::ListedEndpoint;
+use crate::dialect::PromptPart;
+use crate::dialect::StatedLoad;
+use crate::ids::EndpointId;
+use crate::ids::ServiceId;
+use crate::ids::ZoneId;
+
+/// Prompt tokens that an engine reads in a millisecond, until it was observed; a usual figure for
+/// large models.
+const READ_RATE: f64 = 50.0;
+
+/// Bounds of an observed reading rate, against distortion by queues and by cached prompts.
+const READ_RATES: std::ops::RangeInclusive<f64> = 5.0..=1_000.0;
+
+/// Weight of one observation of the reading rate.
+const RATE_WEIGHT: f64 = 0.1;
+
+/// Fewest unread tokens from which the reading rate is observed; below it the steps of the running
+/// requests dominate.
+const OBSERVED_TOKENS: u32 = 2_000;
+
+/// Delay in milliseconds that a full endpoint adds to a request, in proportion to its use.
+const FULL_DELAY: f64 = 60.0;
+
+/// Delay in milliseconds of each request that waits for a slot.
+const WAITING_DELAY: f64 = 25.0;
+
+/// Disadvantage in milliseconds of an endpoint in another zone, for the distance both ways and the
+/// price of bytes between zones.
+const ZONE_DELAY: f64 = 6.0;
+
+/// Delay in milliseconds that a recent failure counts for.
+const FAILURE_DELAY: f64 = 1_500.0;
+
+/// Time in which the memory of a failure halves.
+const FAILURE_FADES: Duration = Duration::from_secs(2);
+
+/// Time without a first byte after which an endpoint counts as silent, at least.
+const SILENT: Duration = Duration::from_millis(800);
+
+/// Times the expected delay after which an endpoint counts as silent.
+const SILENT_FACTOR: f64 = 3.0;
+
+/// Delay in milliseconds that a silent endpoint counts for.
+const SILENT_DELAY: f64 = 8_000.0;
+
+/// Age from which a stated load says nothing.
+const STALE: Duration = Duration::from_secs(2);
+
+/// Part of an engine's memory that is taken to hold shared prompts.
+const CACHE_SHARE: f64 = 0.5;
+
+/// Memory of an engine in tokens, where none is stated.
+const DEFAULT_MEMORY: u64 = 200_000;
+
+/// A request that asks for an endpoint.
+#[derive(Clone, Debug)]
+pub struct Want<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// Prompt tokens.
+    pub prompt: u32,
+    /// Parts of the prompt in order.
+    pub parts: &'a [PromptPart],
+    /// Endpoints that failed it before.
+    pub excluded: &'a [EndpointId],
+    /// Time that is left for its first byte.
+    pub left: Duration,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The endpoint.
+    pub listed: ListedEndpoint,
+    /// Prompt tokens that it has still to read.
+    pub unread: u32,
+    /// Expected time to the first byte.
+    pub expected: Duration,
+}
+
+/// Why a request has no endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoChoice {
+    /// The service has no endpoint that takes requests.
+    Nowhere,
+    /// Every endpoint would answer too late.
+    Late {
+        /// Expected time to the first byte at the best one.
+        expected: Duration,
+    },
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallEnd {
+    /// The whole answer came.
+    Served,
+    /// The endpoint refused and did not run it.
+    Refused,
+    /// The endpoint answered with an error of its own.
+    Failed,
+    /// The connection broke, or the answer was not one.
+    Broken,
+    /// No connection was made.
+    Unreachable,
+    /// Another endpoint has the address.
+    Replaced,
+    /// The caller left or its time ran out.
+    Cancelled,
+}
+
+/// A call at an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Ticket(u64);
+
+#[derive(Debug)]
+struct OwnCall {
+    ticket: Ticket,
+    since: Instant,
+    unread: u32,
+    expected: Duration,
+    answered: bool,
+}
+
+#[derive(Debug)]
+struct Endpoint {
+    listed: ListedEndpoint,
+    hash: u64,
+    own: Vec<OwnCall>,
+    /// Stated load, when it arrived, and the own calls at that time.
+    load: Option<(StatedLoad, Instant, usize)>,
+    /// Weight of failures at the time of the newest one.
+    failures: f64,
+    failed: Instant,
+    /// Cannot be used until the list names it again.
+    gone: bool,
+    cache: Cache,
+}
+
+/// Prompt parts that an engine has read, the least recently used first.
+#[derive(Debug, Default)]
+struct Cache {
+    held: HashMap<u64, u32>,
+    order: VecDeque<u64>,
+    tokens: u64,
+}
+
+impl Cache {
+    fn cached(&self, parts: &[PromptPart]) -> u32 {
+        parts
+            .iter()
+            .take_while(|part| self.held.contains_key(&part.id))
+            .map(|part| part.tokens)
+            .sum()
+    }
+
+    fn add(&mut self, parts: &[PromptPart], limit: u64) {
+        for part in parts {
+            if self.held.insert(part.id, part.tokens).is_none() {
+                self.tokens += u64::from(part.tokens);
+            }
+            self.order.push_back(part.id);
+        }
+        // An identity stands in the order once for each use; only its newest place counts.
+        while self.tokens > limit || self.order.len() > 4 * self.held.len() + 64 {
+            let Some(oldest) = self.order.pop_front() else {
+                break;
+            };
+            if !self.order.contains(&oldest)
+                && let Some(tokens) = self.held.remove(&oldest)
+            {
+                self.tokens -= u64::from(tokens);
+            }
+        }
+    }
+}
+
+/// What this instance knows about all endpoints.
+#[derive(Debug)]
+pub struct Fleet {
+    zone: ZoneId,
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+    services: HashMap<ServiceId, Vec<EndpointId>>,
+    memories: HashMap<ServiceId, u64>,
+    rates: HashMap<ServiceId, f64>,
+    places: HashMap<Ticket, EndpointId>,
+    next: u64,
+}
+
+impl Fleet {
+    /// Creates the knowledge of an instance in a zone.
+    pub fn new(zone: ZoneId) -> Self {
+        Self {
+            zone,
+            endpoints: BTreeMap::new(),
+            services: HashMap::new(),
+            memories: HashMap::new(),
+            rates: HashMap::new(),
+            places: HashMap::new(),
+            next: 0,
+        }
+    }
+
+    /// Takes over how many tokens an engine of a service holds.
+    pub fn set_memory(&mut self, service: &ServiceId, tokens: u64) {
+        self.memories.insert(service.clone(), tokens);
+    }
+
+    /// Takes over the platform's list; returns what changed, for the log.
+    pub fn install(&mut self, now: Instant, list: Vec<ListedEndpoint>) -> Vec<ListChange> {
+        let mut changes = Vec::new();
+        let mut services: HashMap<ServiceId, Vec<EndpointId>> = HashMap::new();
+        for listed in list {
+            let ids = services.entry(listed.service.clone()).or_default();
+            if ids.contains(&listed.id) {
+                continue;
+            }
+            ids.push(listed.id.clone());
+            match self.endpoints.get_mut(&listed.id) {
+                Some(known) if known.listed.address == listed.address => {
+                    if known.listed.leaving != listed.leaving {
+                        changes.push(ListChange::new(&listed));
+                    }
+                    // An endpoint that turned out to be replaced stays unused while the list lags.
+                    known.listed = listed;
+                }
+                _ => {
+                    changes.push(ListChange::new(&listed));
+                    let id = listed.id.clone();
+                    self.endpoints.insert(id, Endpoint::new(now, listed));
+                }
+            }
+        }
+        let known: std::collections::HashSet<_> = services.values().flatten().collect();
+        self.endpoints.retain(|id, endpoint| {
+            let keeps = known.contains(id);
+            if !keeps {
+                changes.push(ListChange {
+                    endpoint: id.clone(),
+                    service: endpoint.listed.service.clone(),
+                    state: "gone",
+                });
+            }
+            keeps
+        });
+        self.services = services;
+        changes
+    }
+
+    /// Returns how many endpoints of a service take requests.
+    pub fn usable(&self, service: &ServiceId) -> usize {
+        self.of(service).filter(|e| e.is_usable()).count()
+    }
+
+    /// Returns the endpoints on the list.
+    pub fn listed(&self) -> impl Iterator<Item = &ListedEndpoint> {
+        self.endpoints.values().map(|endpoint| &endpoint.listed)
+    }
+
+    /// Returns the own calls and the unread prompt tokens of a service.
+    pub fn work(&self, service: &ServiceId) -> (usize, u64) {
+        self.of(service).fold((0, 0), |(calls, unread), endpoint| {
+            (calls + endpoint.own.len(), unread + endpoint.unread())
+        })
+    }
+
+    fn of(&self, service: &ServiceId) -> impl Iterator<Item = &Endpoint> {
+        let ids = self.services.get(service).into_iter().flatten();
+        ids.filter_map(|id| self.endpoints.get(id))
+    }
+
+    /// Chooses the endpoint with the shortest expected time to the first byte.
+    pub fn choose(&self, now: Instant, want: &Want<'_>) -> Result<Choice, NoChoice> {
+        let rate = self.rates.get(want.service).copied().unwrap_or(READ_RATE);
+        let home = self.home(want);
+        let mut best: Option<(f64, &Endpoint, u32)> = None;
+        for endpoint in self.of(want.service).filter(|e| e.is_usable()) {
+            if want.excluded.contains(&endpoint.listed.id) {
+                continue;
+            }
+            let cached = match home {
+                // All instances send the part there, so it is likely held already.
+                Some(hash) if hash == endpoint.hash => shared(want.parts) / 2,
+                _ => endpoint.cache.cached(want.parts),
+            };
+            let unread = want.prompt.saturating_sub(cached);
+            let score = endpoint.delay(now, unread, rate, &self.zone);
+            if best.is_none_or(|(least, _, _)| score < least) {
+                best = Some((score, endpoint, unread));
+            }
+        }
+        let (score, endpoint, unread) = best.ok_or(NoChoice::Nowhere)?;
+        let expected = Duration::from_secs_f64(score / 1_000.0);
+        if expected > want.left && !endpoint.is_doubtful(now) {
+            return Err(NoChoice::Late { expected });
+        }
+        Ok(Choice {
+            listed: endpoint.listed.clone(),
+            unread,
+            expected,
+        })
+    }
+
+    /// Returns the endpoint, by its hash, where a shared part that none is known to hold belongs.
+    fn home(&self, want: &Want<'_>) -> Option<u64> {
+        let count = want.parts.len().checked_sub(1)?;
+        let shared = want.parts[..count].last()?;
+        let usable = || self.of(want.service).filter(|e| e.is_usable());
+        if usable().any(|e| e.cache.held.contains_key(&shared.id)) {
+            return None;
+        }
+        let hashes: Vec<u64> = usable().map(|e| e.hash).collect();
+        let place = affinity::rendezvous(shared.id, hashes.iter().copied())?;
+        hashes.get(place).copied()
+    }
+
+    /// Records a call that is about to be sent.
+    pub fn start(&mut self, now: Instant, choice: &Choice, parts: &[PromptPart]) -> Ticket {
+        self.next += 1;
+        let ticket = Ticket(self.next);
+        let memory = self.memories.get(&choice.listed.service);
+        let limit = (memory.copied().unwrap_or(DEFAULT_MEMORY) as f64 * CACHE_SHARE) as u64;
+        if let Some(endpoint) = self.endpoints.get_mut(&choice.listed.id) {
+            endpoint.own.push(OwnCall {
+                ticket,
+                since: now,
+                unread: choice.unread,
+                expected: choice.expected,
+                answered: false,
+            });
+            endpoint.cache.add(parts, limit);
+            self.places.insert(ticket, choice.listed.id.clone());
+        }
+        ticket
+    }
+
+    /// Records the first byte of an answer.
+    pub fn answered(&mut self, now: Instant, ticket: Ticket, load: Option<StatedLoad>) {
+        let Some(endpoint) = self.places.get(&ticket) else {
+            return;
+        };
+        let Some(endpoint) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        if let Some(load) = load {
+            endpoint.load = Some((load, now, endpoint.own.len()));
+        }
+        let alone = endpoint.own.iter().filter(|c| !c.answered).count() == 1;
+        let Some(call) = endpoint.own.iter_mut().find(|c| c.ticket == ticket) else {
+            return;
+        };
+        if !std::mem::replace(&mut call.answered, true) && alone && call.unread >= OBSERVED_TOKENS {
+            let took = now.saturating_duration_since(call.since).as_secs_f64() * 1_000.0;
+            let seen = (f64::from(call.unread) / took.max(1.0))
+                .clamp(*READ_RATES.start(), *READ_RATES.end());
+            let service = endpoint.listed.service.clone();
+            let rate = self.rates.entry(service).or_insert(READ_RATE);
+            *rate += (seen - *rate) * RATE_WEIGHT;
+        }
+    }
+
+    /// Records the end of a call; a second end of the same call changes nothing.
+    pub fn end(&mut self, now: Instant, ticket: Ticket, end: CallEnd) {
+        let Some(id) = self.places.remove(&ticket) else {
+            return;
+        };
+        let Some(endpoint) = self.endpoints.get_mut(&id) else {
+            return;
+        };
+        endpoint.own.retain(|call| call.ticket != ticket);
+        match end {
+            CallEnd::Served => endpoint.failures = endpoint.recent_failures(now) * 0.5,
+            CallEnd::Cancelled => return,
+            CallEnd::Replaced => endpoint.gone = true,
+            CallEnd::Refused => endpoint.fail(now, 0.3),
+            CallEnd::Failed => endpoint.fail(now, 0.5),
+            CallEnd::Broken | CallEnd::Unreachable => {
+                // A crashed engine holds nothing any more.
+                endpoint.cache = Cache::default();
+                endpoint.fail(now, 1.0);
+            }
+        }
+        endpoint.failed = now;
+    }
+}
+
+/// A change on the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListChange {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its service.
+    pub service: ServiceId,
+    /// What it is now.
+    pub state: &'static str,
+}
+
+impl ListChange {
+    fn new(listed: &ListedEndpoint) -> Self {
+        Self {
+            endpoint: listed.id.clone(),
+            service: listed.service.clone(),
+            state: if listed.leaving { "leaving" } else { "ready" },
+        }
+    }
+}
+
+/// Returns the tokens of the parts that other requests may share.
+fn shared(parts: &[PromptPart]) -> u32 {
+    let count = parts.len().saturating_sub(1);
+    parts[..count].iter().map(|part| part.tokens).sum()
+}
+
+impl Endpoint {
+    fn new(now: Instant, listed: ListedEndpoint) -> Self {
+        Self {
+            hash: affinity::hash_name(listed.id.as_str()),
+            listed,
+            own: Vec::new(),
+            load: None,
+            failures: 0.0,
+            failed: now,
+            gone: false,
+            cache: Cache::default(),
+        }
+    }
+
+    fn is_usable(&self) -> bool {
+        !self.listed.leaving && !self.gone
+    }
+
+    fn unread(&self) -> u64 {
+        let waiting = self.own.iter().filter(|call| !call.answered);
+        waiting.map(|call| u64::from(call.unread)).sum()
+    }
+
+    fn recent_failures(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.failed).as_secs_f64();
+        self.failures * 0.5_f64.powf(age / FAILURE_FADES.as_secs_f64())
+    }
+
+    fn fail(&mut self, now: Instant, weight: f64) {
+        self.failures = (self.recent_failures(now) + weight).min(4.0);
+    }
+
+    fn is_silent(&self, now: Instant) -> bool {
+        self.own.iter().any(|call| {
+            let limit = call.expected.mul_f64(SILENT_FACTOR).max(SILENT);
+            !call.answered && now.saturating_duration_since(call.since) > limit
+        })
+    }
+
+    /// Tells whether the expected delay is a guess from failures rather than from load.
+    fn is_doubtful(&self, now: Instant) -> bool {
+        self.is_silent(now) || self.recent_failures(now) > 0.1
+    }
+
+    /// Returns how many requests it is taken to run and to queue.
+    fn busy(&self, now: Instant) -> (f64, f64) {
+        let own = self.own.len() as f64;
+        let (running, waiting) = match self.load {
+            Some((load, at, then)) if now.saturating_duration_since(at) < STALE => {
+                let since = own - then as f64;
+                let running = f64::from(load.running) + since;
+                (running.max(own), f64::from(load.waiting))
+            }
+            _ => (own, 0.0),
+        };
+        let slots = f64::from(self.listed.slots.max(1));
+        (running.min(slots), waiting + (running - slots).max(0.0))
+    }
+
+    /// Returns the expected time to the first byte in milliseconds.
+    fn delay(&self, now: Instant, unread: u32, rate: f64, zone: &ZoneId) -> f64 {
+        let (running, waiting) = self.busy(now);
+        let tokens = self.unread() as f64 + f64::from(unread);
+        let use_share = running / f64::from(self.listed.slots.max(1));
+        let mut delay = tokens / rate + FULL_DELAY * use_share + WAITING_DELAY * waiting;
+        if self.listed.zone != *zone {
+            delay += ZONE_DELAY;
+        }
+        delay += FAILURE_DELAY * self.recent_failures(now);
+        if self.is_silent(now) {
+            delay += SILENT_DELAY;
+        }
+        delay
+    }
+}
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -64,6 +64,10 @@
     /// Names a route from a class to endpoints.
     RouteId
 );
+name_id!(
+    /// Names a service, a group of like endpoints that routes lead to.
+    ServiceId
+);
 name_id!(
     /// Names a key without revealing it.
     KeyId
--- a/lib/src/load_poller.rs
+++ b/lib/src/load_poller.rs
@@ -230,6 +230,7 @@
             headers: HeaderMap::new(),
             body: Bytes::new(),
             pooled: true,
+            echo: None,
         };
         let mut answer = self.client.send(call).await.ok()?;
         if answer.status != 200 {
--- a/lib/src/peer_message.rs
+++ b/lib/src/peer_message.rs
@@ -15,6 +15,7 @@
 use crate::ids::InstanceId;
 use crate::quota::ChunkRow;
 use crate::quota::DemandRow;
+use crate::raft_member::Membership;
 use crate::raft_message::MemberId;
 use crate::raft_message::Message;
 use crate::rule_state::CommittedChange;
@@ -69,6 +70,8 @@
     pub chunks: Vec<ChunkRow>,
     /// Instances that hold a view lease, the answering one included.
     pub entries: u32,
+    /// Peer addresses of the members of the group.
+    pub members: Vec<String>,
 }
 
 /// Fingerprints of requests that were in flight at crashes.
@@ -146,12 +149,22 @@
 /// Answer to an introduction.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum JoinResponse {
-    /// This instance has an unused data folder of this identity, too.
-    Fresh(MemberId),
+    /// This instance has an unused data folder, too.
+    Fresh {
+        /// Identity of the data folder.
+        id: MemberId,
+        /// Name of the instance.
+        instance: InstanceId,
+    },
     /// This instance belongs to a group; only its leader adds members.
     Grouped {
         /// Whether the joining identity is a member already.
         member: bool,
+        /// The leader, if it is known.
+        leader: Option<Whereabouts>,
+        /// The first voters of a group that has had no leader yet, so that another of them can take
+        /// part in the first election.
+        founders: Option<Membership>,
     },
     /// This instance has no data folder.
     NotVoter,
--- a/lib/src/platform.rs
+++ b/lib/src/platform.rs
@@ -15,6 +15,8 @@
 
 use derive_more::Display;
 use derive_more::Error;
+use http::HeaderMap;
+use http::HeaderValue;
 use http::Method;
 use serde::Deserialize;
 use serde::Serialize;
@@ -24,6 +26,7 @@
 use crate::clock::Clock;
 use crate::command::Order;
 use crate::command::Window;
+use crate::dialect::PlatformCall;
 use crate::ids::EndpointId;
 use crate::ids::ModelId;
 use crate::ids::ZoneId;
@@ -249,12 +252,51 @@
         self.write(guard, to, "/kv/import", &cache).map(drop)
     }
 
+    /// Makes a call that anybody may make at any time, in the form of an adapter.
+    pub fn read(&self, call: &PlatformCall) -> Result<Vec<u8>, PlatformError> {
+        let uri = format!("http://{}{}", self.address, call.path);
+        let mut request = http::Request::builder()
+            .method(call.method.clone())
+            .uri(uri)
+            .body(())
+            .map_err(|e| PlatformError::Unreachable(e.to_string()))?;
+        *request.headers_mut() = call.headers.clone();
+        answer(self.agent.run(request))
+    }
+
     fn write(
         &self,
         guard: Guard,
         address: SocketAddr,
         path: &str,
         body: &[u8],
+    ) -> Result<Vec<u8>, PlatformError> {
+        let mut headers = HeaderMap::new();
+        let json = HeaderValue::from_static("application/json");
+        headers.insert(http::header::CONTENT_TYPE, json);
+        headers.insert(FENCE_HEADER, HeaderValue::from(guard.fence()));
+        self.guarded(guard, address, &Method::POST, path, &headers, body)
+    }
+
+    /// Makes an exclusive call in the form of an adapter, while the lease is held.
+    pub fn exclusive(&self, guard: Guard, call: &PlatformCall) -> Result<Vec<u8>, PlatformError> {
+        let PlatformCall {
+            method,
+            path,
+            headers,
+            body,
+        } = call;
+        self.guarded(guard, self.address, method, path, headers, body)
+    }
+
+    fn guarded(
+        &self,
+        guard: Guard,
+        address: SocketAddr,
+        method: &Method,
+        path: &str,
+        headers: &HeaderMap,
+        body: &[u8],
     ) -> Result<Vec<u8>, PlatformError> {
         let left = guard
             .remaining(self.clock.now(), self.clock.wall())
@@ -266,14 +308,16 @@
             body,
             lost: &lost,
         };
-        let request = http::Request::builder()
-            .method(Method::POST)
+        let mut request = http::Request::builder()
+            .method(method.clone())
             .uri(format!("http://{address}{path}"))
-            .header("content-type", "application/json")
-            .header("content-length", body.len())
-            .header(FENCE_HEADER, guard.fence())
             .body(SendBody::from_reader(&mut reader))
             .map_err(|e| PlatformError::Unreachable(e.to_string()))?;
+        *request.headers_mut() = headers.clone();
+        let length = HeaderValue::from(body.len());
+        request
+            .headers_mut()
+            .insert(http::header::CONTENT_LENGTH, length);
         let request = self
             .agent
             .configure_request(request)
--- a/lib/src/raft_member.rs
+++ b/lib/src/raft_member.rs
@@ -249,6 +249,20 @@
         stale.map(|m| MemberChange::Remove(m.id))
     }
 
+    /// Returns the removal of a voter that has failed, if at least the wanted number still works.
+    ///
+    /// Fewer voters than that would hold an acknowledged entry on too few disks.
+    pub fn retire(&self, members: &[MemberHealth]) -> Option<MemberChange> {
+        let working = members.iter().filter(|m| m.voting && self.is_working(m));
+        if working.count() < self.voters {
+            return None;
+        }
+        let failed = members
+            .iter()
+            .find(|m| m.voting && m.silent >= self.failed)?;
+        self.checked(MemberChange::Remove(failed.id), members)
+    }
+
     fn is_working(&self, member: &MemberHealth) -> bool {
         member.silent < self.working
     }
--- a/lib/src/retry.rs
+++ b/lib/src/retry.rs
@@ -22,21 +22,30 @@
 /// Retries that are allowed at present.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
+    share: f64,
+    burst: f64,
     tokens: f64,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self {
-            tokens: BUDGET_BURST,
-        }
+        Self::new(BUDGET_SHARE, BUDGET_BURST)
     }
 }
 
 impl RetryBudget {
+    /// Creates a full budget that earns `share` retries with each request and saves up to `burst`.
+    pub fn new(share: f64, burst: f64) -> Self {
+        Self {
+            share,
+            burst,
+            tokens: burst,
+        }
+    }
+
     /// Counts an ordinary request.
     pub fn earn(&mut self) {
-        self.tokens = (self.tokens + BUDGET_SHARE).min(BUDGET_BURST);
+        self.tokens = (self.tokens + self.share).min(self.burst);
     }
 
     /// Takes one retry and tells whether there was one.
--- a/lib/src/rule_state.rs
+++ b/lib/src/rule_state.rs
@@ -16,8 +16,11 @@
 use crate::command::Change;
 use crate::command::Reply;
 use crate::command::Timestamp;
+use crate::command::document_edit;
 use crate::ids::ChangeId;
+use crate::rules::Document;
 use crate::rules::Rule;
+use crate::rules::RuleBody;
 use crate::view::Edit;
 use crate::view::Version;
 use crate::view::View;
@@ -68,8 +71,13 @@
     }
 }
 
-fn edit_weight(edit: &Edit) -> usize {
+/// Returns the approximate size of an edit in memory in bytes.
+pub(crate) fn edit_weight(edit: &Edit) -> usize {
     let text = match edit {
+        Edit::Set(Rule {
+            body: RuleBody::Document(document),
+            ..
+        }) => document.text.len(),
         // The parsed body repeats most words of the line.
         Edit::Set(rule) => 2 * rule.line.len() + rule.asker.len() + rule.key.name.len(),
         Edit::Remove(key) => key.name.len(),
@@ -179,6 +187,32 @@
         Reply::Applied { version }
     }
 
+    /// Returns the configuration document.
+    pub fn document(&self) -> Option<Document> {
+        self.view.document().map(|document| (**document).clone())
+    }
+
+    /// Puts a document of a higher revision in place of the held one.
+    ///
+    /// The reply is the same whether the document took effect or not: the sender learns that this or
+    /// a higher revision is in place. Earlier changes are no longer kept as deltas, because documents
+    /// are large and each replaces the one before.
+    pub fn replace_document(&mut self, document: &Document) -> Reply {
+        let current = self.view.version();
+        let held = self.view.document();
+        if held.is_some_and(|held| held.revision >= document.revision) {
+            return Reply::Applied { version: current };
+        }
+        let version = Version(current.0 + 1);
+        match edited(&self.view, &[document_edit(document)], version) {
+            Ok(view) => self.view = view,
+            Err(error) => return refused(ResultCode::InvalidRules, &error.to_string()),
+        }
+        self.changes.clear();
+        self.change_bytes = 0;
+        Reply::Applied { version }
+    }
+
     fn keep(&mut self, change: CommittedChange) {
         self.change_bytes += change.weight();
         self.changes.push_back(change);
--- a/lib/src/rules.rs
+++ b/lib/src/rules.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::str::FromStr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -182,6 +183,17 @@
     pub slots: u32,
 }
 
+/// A configuration that is kept and replaced as one text, which an adapter interprets.
+///
+/// Its revision is chosen by whoever wrote it and only grows (`docs/platform.md`).
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// The revision that its author gave it.
+    pub revision: u64,
+    /// The text as it was accepted.
+    pub text: Arc<str>,
+}
+
 /// What a rule says.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RuleBody {
@@ -197,6 +209,8 @@
     Limit(Limit),
     /// An endpoint.
     Endpoint(Endpoint),
+    /// A configuration document.
+    Document(Document),
 }
 
 /// Kind of a rule, the first word of its line.
@@ -217,6 +231,8 @@
     Limit,
     /// An endpoint.
     Endpoint,
+    /// A configuration document, which has no line form.
+    Document,
 }
 
 /// Identity of a rule; a later rule of the same identity replaces it.
@@ -326,6 +342,14 @@
             concurrency: fields.optional("concurrency", integer)?,
         }),
         RuleKind::Endpoint => RuleBody::Endpoint(endpoint(&name, &mut fields)?),
+        // `Fields::kind` does not return it, because a document has no line form.
+        RuleKind::Document => {
+            return Err(error(
+                1,
+                "a document cannot be written as a rule".to_owned(),
+                "send it through the interface that it came from".to_owned(),
+            ));
+        }
     };
     fields.finish()?;
     Ok(Rule {
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -77,6 +77,12 @@
     /// Threads for callers (4).
     #[options(no_short, meta = "COUNT")]
     pub workers: Option<String>,
+    /// Runs on the platform that the adapter of this name translates for, with its settings file.
+    #[options(no_short, meta = "NAME")]
+    pub adapter: Option<String>,
+    /// Port of the metrics page, with --adapter.
+    #[options(no_short, meta = "PORT")]
+    pub metrics_port: Option<String>,
     /// File for decision lines; standard output without it.
     #[options(no_short, meta = "FILE")]
     pub log: Option<String>,
--- a/lib/src/simple_state.rs
+++ b/lib/src/simple_state.rs
@@ -19,13 +19,17 @@
 use crate::command::Reply;
 use crate::command::Stamped;
 use crate::command::UsageReport;
+use crate::command::UsageTerms;
 use crate::command::Window;
+use crate::command::document_edit;
 use crate::control::Suspicion;
 use crate::ids::EndpointId;
 use crate::ids::RequestId;
 use crate::intent;
 use crate::order::Place;
+use crate::rules::Document;
 use crate::rules::Rule;
+use crate::rules::RuleBody;
 use crate::rules::RuleKey;
 use crate::suspect;
 use crate::usage::Counts;
@@ -104,6 +108,31 @@
             } => self.give_up(*lease, holder, *fence),
             Command::PlaceOrder(order) => self.place(order),
             Command::CloseOrder { order, state } => self.close(*order, *state),
+            Command::ReplaceDocument(document) => self.replace_document(document),
+            Command::ReadDocument => Reply::Document(self.document()),
+            // The naive version knows only the default terms.
+            Command::SetUsageTerms(_) => Reply::Done,
+        }
+    }
+
+    fn document(&self) -> Option<Document> {
+        self.rules.values().find_map(|rule| match &rule.body {
+            RuleBody::Document(document) => Some(document.clone()),
+            _ => None,
+        })
+    }
+
+    fn replace_document(&mut self, document: &Document) -> Reply {
+        let held = self.document();
+        if held.is_none_or(|held| held.revision < document.revision) {
+            let Edit::Set(rule) = document_edit(document) else {
+                return Reply::Done;
+            };
+            self.rules.insert(rule.key.clone(), rule);
+            self.version += 1;
+        }
+        Reply::Applied {
+            version: Version(self.version),
         }
     }
 
@@ -270,10 +299,11 @@
         }
         let entry = report.entry.clone();
         self.sequences.insert(entry, (report.sequence, self.now));
-        let wanted = Window::at(report.window.0);
-        let mut window = wanted.min(Window::at(self.now / 1_000));
+        let terms = UsageTerms::default();
+        let wanted = terms.at(report.window.0);
+        let mut window = wanted.min(terms.at(self.now / 1_000));
         while self.frozen.keys().any(|closed| *closed >= window) {
-            window = window.next();
+            window = terms.next(window);
         }
         for row in &report.rows {
             let mut counts = Counts::default();
--- a/lib/src/state.rs
+++ b/lib/src/state.rs
@@ -137,6 +137,9 @@
                 parts.orders.place(now, fence, order)
             }
             Command::CloseOrder { order, state } => parts.orders.close(*order, *state),
+            Command::ReplaceDocument(document) => self.rules.replace_document(document),
+            Command::ReadDocument => Reply::Document(self.rules.document()),
+            Command::SetUsageTerms(terms) => parts.usage.set_terms(*terms),
         }
     }
 
--- /dev/null
+++ b/lib/src/traffic_metrics.rs
@@ -0,0 +1,91 @@
+//! Counters and latency histograms of forwarded traffic, in the usual text form.
+
+use std::time::Duration;
+
+use prometheus::Encoder as _;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounterVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::code::ResultCode;
+use crate::ids::ServiceId;
+
+/// Upper bounds of the latency buckets in seconds, from the fastest service to the longest timeout.
+const BUCKETS: [f64; 11] = [0.01, 0.03, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 2.5, 6.0, 15.0];
+
+/// Counts what happens to forwarded requests.
+#[derive(Clone, Debug)]
+pub struct TrafficMetrics {
+    registry: Registry,
+    served: IntCounterVec,
+    refused: IntCounterVec,
+    total: HistogramVec,
+    first: HistogramVec,
+}
+
+impl TrafficMetrics {
+    /// Creates the metrics of a process.
+    pub fn new() -> prometheus::Result<Self> {
+        let latency = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+            HistogramVec::new(options, &["service"])
+        };
+        let metrics = Self {
+            registry: Registry::new(),
+            served: IntCounterVec::new(
+                Opts::new("fulmarford_answers", "Answers of endpoints passed on"),
+                &["service", "status"],
+            )?,
+            refused: IntCounterVec::new(
+                Opts::new("fulmarford_own_failures", "Own refusals and failures"),
+                &["code"],
+            )?,
+            total: latency(
+                "fulmarford_answer_seconds",
+                "Arrival to the end of an answer",
+            )?,
+            first: latency("fulmarford_first_seconds", "Sending to the first byte")?,
+        };
+        metrics
+            .registry
+            .register(Box::new(metrics.served.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.refused.clone()))?;
+        metrics.registry.register(Box::new(metrics.total.clone()))?;
+        metrics.registry.register(Box::new(metrics.first.clone()))?;
+        Ok(metrics)
+    }
+
+    /// Counts an answer that was passed on whole.
+    pub fn served(&self, service: &ServiceId, status: u16, took: Duration) {
+        let labels = [service.as_str(), &status.to_string()];
+        self.served.with_label_values(&labels).inc();
+        let total = self.total.with_label_values(&[service.as_str()]);
+        total.observe(took.as_secs_f64());
+    }
+
+    /// Records the time from sending to the first byte.
+    pub fn first(&self, service: &ServiceId, took: Duration) {
+        let first = self.first.with_label_values(&[service.as_str()]);
+        first.observe(took.as_secs_f64());
+    }
+
+    /// Counts a refusal or failure of this instance's own.
+    pub fn refused(&self, code: ResultCode) {
+        let code = code.number().to_string();
+        self.refused.with_label_values(&[code.as_str()]).inc();
+    }
+
+    /// Returns all metrics as text.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            tracing::error!(%error, "cannot write the metrics");
+        }
+        text
+    }
+}
--- a/lib/src/upstream.rs
+++ b/lib/src/upstream.rs
@@ -37,6 +37,18 @@
 /// written to a connection that the endpoint is closing.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Part of the idle time told by an endpoint that is not used, for a call on its way.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Interval of the probes on a silent connection.
+const PROBE_TIME: Duration = Duration::from_secs(1);
+
+/// Probes without an answer after which a connection is given up.
+const PROBES: u32 = 2;
+
+/// Time for which sent bytes may stay unacknowledged; several times the round trip with two losses.
+const SILENCE: Duration = Duration::from_millis(2_500);
+
 /// Unused connections kept per endpoint.
 const IDLE_PER_ENDPOINT: usize = 64;
 
@@ -49,6 +61,9 @@
     /// The connection broke after bytes may have been sent.
     #[display("the call failed: {_0}")]
     Failed(#[error(not(source))] String),
+    /// The answer on the connection belongs to another call.
+    #[display("the answer belongs to another call")]
+    Crossed,
 }
 
 /// A call to an endpoint.
@@ -66,6 +81,20 @@
     pub body: Bytes,
     /// Whether the call may use a connection that has carried others.
     pub pooled: bool,
+    /// Whether an answer must name the call it belongs to, and how.
+    pub echo: Option<Echo<'a>>,
+}
+
+/// A header that an endpoint copies from a call to its answer.
+///
+/// An endpoint may send an answer twice or too late, where the answer to the next call on the
+/// connection is due; only this header tells them apart.
+#[derive(Clone, Copy, Debug)]
+pub struct Echo<'a> {
+    /// Name of the header in lower case.
+    pub name: &'static str,
+    /// Its value in the call.
+    pub value: &'a str,
 }
 
 /// Sends calls to endpoints.
@@ -77,7 +106,8 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
-    used: Instant,
+    /// Until when the endpoint keeps it open.
+    until: Instant,
 }
 
 /// Aborts the task that owns the socket, which closes the connection.
@@ -97,6 +127,8 @@
     pub status: u16,
     /// The headers.
     pub headers: HeaderMap,
+    /// Time for which the endpoint keeps the connection when it is idle, less a margin.
+    idle: Duration,
     body: Incoming,
     address: SocketAddr,
     sender: Option<SendRequest<Full<Bytes>>>,
@@ -107,9 +139,17 @@
 impl Client {
     /// Sends a call and returns when the headers of the answer have arrived.
     pub async fn send(&self, call: Call<'_>) -> Result<Answer, CallError> {
-        let mut request = request(&call)?;
+        let answer = self.send_unchecked(&call).await?;
+        match call.echo {
+            Some(echo) if !belongs(&answer, echo) => Err(CallError::Crossed),
+            _ => Ok(answer),
+        }
+    }
+
+    async fn send_unchecked(&self, call: &Call<'_>) -> Result<Answer, CallError> {
+        let mut request = request(call)?;
         while let Some(connection) = call.pooled.then(|| self.take(call.address)).flatten() {
-            match self.exchange(&call, connection, request).await {
+            match self.exchange(call, connection, request).await {
                 Ok(answer) => return Ok(answer),
                 // hyper hands the request back only when none of it was written.
                 Err((_, Some(unwritten))) => request = unwritten,
@@ -117,12 +157,12 @@
             }
         }
         let connection = connect(call.address).await?;
-        self.exchange(&call, connection, request).await.map_err(
-            |(error, unwritten)| match unwritten {
+        self.exchange(call, connection, request)
+            .await
+            .map_err(|(error, unwritten)| match unwritten {
                 Some(_) => CallError::Unreachable(error),
                 None => CallError::Failed(error),
-            },
-        )
+            })
     }
 
     async fn exchange(
@@ -144,7 +184,9 @@
             }
         };
         let (parts, body) = response.into_parts();
+        let idle = told_idle(&parts.headers);
         Ok(Answer {
+            idle,
             status: parts.status.as_u16(),
             headers: parts.headers,
             body,
@@ -159,7 +201,7 @@
         let mut idle = self.idle.lock().expect("pool lock poisoned");
         let list = idle.get_mut(&address)?;
         while let Some(connection) = list.pop() {
-            if !connection.sender.is_closed() && connection.used.elapsed() < IDLE_TIMEOUT {
+            if !connection.sender.is_closed() && Instant::now() < connection.until {
                 return Some(connection);
             }
             connection.task.abort();
@@ -171,7 +213,7 @@
     fn put(&self, address: SocketAddr, connection: Connection) {
         let mut idle = self.idle.lock().expect("pool lock poisoned");
         let list = idle.entry(address).or_default();
-        list.retain(|c| !c.sender.is_closed() && c.used.elapsed() < IDLE_TIMEOUT);
+        list.retain(|c| !c.sender.is_closed() && Instant::now() < c.until);
         if list.len() < IDLE_PER_ENDPOINT && !connection.sender.is_closed() {
             list.push(connection);
         } else {
@@ -187,6 +229,7 @@
         .map_err(|e| unreachable(&e))?
         .map_err(|e| unreachable(&e))?;
     let _ = stream.set_nodelay(true);
+    bound_silence(&stream);
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|e| unreachable(&e))?;
@@ -196,10 +239,46 @@
     Ok(Connection {
         sender,
         task: task.abort_handle(),
-        used: Instant::now(),
+        until: Instant::now() + IDLE_TIMEOUT,
     })
 }
 
+/// Tells whether an answer names the call that it is read for.
+///
+/// An answer without the header is taken only for a failure, which endpoints may send before they
+/// know the call.
+fn belongs(answer: &Answer, echo: Echo<'_>) -> bool {
+    match answer.headers.get(echo.name) {
+        Some(value) => value.as_bytes() == echo.value.as_bytes(),
+        None => !(200..300).contains(&answer.status),
+    }
+}
+
+/// Returns how long a connection may be kept after an answer with these headers.
+fn told_idle(headers: &HeaderMap) -> Duration {
+    let told = headers.get("keep-alive").and_then(|value| {
+        let fields = value.to_str().ok()?.split(',');
+        let mut timeout = fields.filter_map(|field| field.trim().strip_prefix("timeout="));
+        timeout.next()?.parse().ok().map(Duration::from_secs)
+    });
+    told.map_or(IDLE_TIMEOUT, |told| told.saturating_sub(IDLE_MARGIN))
+}
+
+/// Sets how long the system waits for a silent peer, which a cut link leaves without a reset.
+fn bound_silence(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    let probes = socket2::TcpKeepalive::new()
+        .with_time(PROBE_TIME)
+        .with_interval(PROBE_TIME)
+        .with_retries(PROBES);
+    let set = socket
+        .set_tcp_keepalive(&probes)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(SILENCE)));
+    if let Err(error) = set {
+        tracing::debug!(%error, "cannot bound the silence of a connection");
+    }
+}
+
 fn request(call: &Call<'_>) -> Result<http::Request<Full<Bytes>>, CallError> {
     let unreachable = |e: http::Error| CallError::Unreachable(e.to_string());
     let mut request = http::Request::builder()
@@ -210,11 +289,17 @@
     *request.headers_mut() = call.headers.clone();
     let host =
         HeaderValue::from_str(&call.address.to_string()).map_err(|e| unreachable(e.into()))?;
-    request.headers_mut().insert(http::header::HOST, host);
+    let headers = request.headers_mut();
+    headers.entry(http::header::HOST).or_insert(host);
     Ok(request)
 }
 
 impl Answer {
+    /// Tells whether the body is not the endpoint's own bytes but an encoding of them.
+    pub fn is_encoded(&self) -> bool {
+        self.headers.contains_key(http::header::CONTENT_ENCODING)
+    }
+
     /// Returns the next bytes of the body, or nothing at its end.
     pub async fn next(&mut self) -> io::Result<Option<Bytes>> {
         loop {
@@ -252,7 +337,7 @@
             let connection = Connection {
                 sender,
                 task,
-                used: Instant::now(),
+                until: Instant::now() + self.idle,
             };
             client.put(self.address, connection);
         }
--- a/lib/src/usage.rs
+++ b/lib/src/usage.rs
@@ -20,6 +20,7 @@
 use crate::command::Timestamp;
 use crate::command::UsageReport;
 use crate::command::UsageRow;
+use crate::command::UsageTerms;
 use crate::command::Window;
 use crate::ids::ClassId;
 use crate::ids::WorkspaceId;
@@ -45,26 +46,43 @@
 /// Interval after which an entry reports even if nothing was used, so that its number is kept.
 pub const IDLE_REPORT: Duration = Duration::from_secs(3_600);
 
-impl Window {
+/// Time in seconds that open windows cover at most, so that short windows do not close early.
+const OPEN_SECONDS: u64 = MAX_OPEN as u64 * WINDOW_SECONDS;
+
+impl Default for UsageTerms {
+    fn default() -> Self {
+        Self {
+            length: WINDOW_SECONDS,
+            grace: GRACE_SECONDS,
+        }
+    }
+}
+
+impl UsageTerms {
     /// Returns the window of a point in time.
-    pub fn at(seconds: u64) -> Self {
-        Self(seconds - seconds % WINDOW_SECONDS)
+    pub fn at(&self, seconds: u64) -> Window {
+        Window(seconds - seconds % self.length.max(1))
     }
 
     /// Returns the window of the wall-clock time.
-    pub fn of(wall: SystemTime) -> Self {
+    pub fn of(&self, wall: SystemTime) -> Window {
         let since = wall.duration_since(SystemTime::UNIX_EPOCH);
-        Self::at(since.unwrap_or_default().as_secs())
+        self.at(since.unwrap_or_default().as_secs())
     }
 
     /// Returns the window after this one.
-    pub fn next(self) -> Self {
-        Self(self.0.saturating_add(WINDOW_SECONDS))
+    pub fn next(&self, window: Window) -> Window {
+        Window(window.0.saturating_add(self.length))
+    }
+
+    /// Tells whether a window may be frozen at this time.
+    pub fn is_due(&self, window: Window, now: Timestamp) -> bool {
+        now.0 / 1_000 >= window.0.saturating_add(self.length + self.grace)
     }
 
-    /// Tells whether the window may be frozen at this time.
-    pub fn is_due(self, now: Timestamp) -> bool {
-        now.0 / 1_000 >= self.0.saturating_add(WINDOW_SECONDS + GRACE_SECONDS)
+    /// Returns how many windows take counts at most.
+    fn max_open(&self) -> usize {
+        usize::try_from(OPEN_SECONDS / self.length.max(1)).unwrap_or(MAX_OPEN)
     }
 }
 
@@ -136,13 +154,28 @@
     closed: Option<Window>,
     /// Time of the last look for silent entries.
     swept: Timestamp,
+    terms: UsageTerms,
 }
 
 impl UsageState {
+    /// Returns the length of windows.
+    pub fn terms(&self) -> UsageTerms {
+        self.terms
+    }
+
+    /// Sets the length of windows; windows that are open already keep their start.
+    pub fn set_terms(&mut self, terms: UsageTerms) -> Reply {
+        if terms.length == 0 {
+            return refused(ResultCode::BadRequest, "a window has no length".to_owned());
+        }
+        self.terms = terms;
+        Reply::Done
+    }
+
     /// Returns the oldest window that may be frozen at this time.
     pub fn due(&self, now: Timestamp) -> Option<Window> {
         let oldest = *self.open.keys().next()?;
-        (oldest.is_due(now) && self.frozen_bytes < MAX_FROZEN_BYTES).then_some(oldest)
+        (self.terms.is_due(oldest, now) && self.frozen_bytes < MAX_FROZEN_BYTES).then_some(oldest)
     }
 
     /// Returns the frozen windows that the platform has not accepted, the oldest first.
@@ -205,7 +238,7 @@
         if report.rows.is_empty() {
             return;
         }
-        let wanted = Window::at(report.window.0);
+        let wanted = self.terms.at(report.window.0);
         let window = self.target(now, wanted);
         let late = window > wanted;
         let rows = self.open.entry(window).or_default();
@@ -222,12 +255,14 @@
     /// Returns the window that takes the counts of `wanted`.
     fn target(&self, now: Timestamp, wanted: Window) -> Window {
         // An entry whose clock is ahead must not open windows that are frozen much later.
-        let wanted = wanted.min(Window::at(now.0 / 1_000));
-        let first = self.closed.map_or(Window(0), Window::next);
+        let wanted = wanted.min(self.terms.at(now.0 / 1_000));
+        let first = self.closed.map_or(Window(0), |w| self.terms.next(w));
         let wanted = wanted.max(first);
         let newest = self.open.keys().next_back();
         match newest {
-            Some(newest) if self.open.len() >= MAX_OPEN && !self.open.contains_key(&wanted) => {
+            Some(newest)
+                if self.open.len() >= self.terms.max_open() && !self.open.contains_key(&wanted) =>
+            {
                 *newest
             }
             _ => wanted,
@@ -300,14 +335,23 @@
 /// caused never reach it.
 #[derive(Debug, Default)]
 pub struct UsageCounter {
+    terms: UsageTerms,
     counts: Mutex<BTreeMap<CounterKey, Counts>>,
 }
 
 impl UsageCounter {
+    /// Creates a counter for windows of a length.
+    pub fn new(terms: UsageTerms) -> Self {
+        Self {
+            terms,
+            counts: Mutex::default(),
+        }
+    }
+
     /// Counts one completed request, or several, at the time of completion.
     pub fn record(&self, wall: SystemTime, row: &UsageRow) {
         let key = CounterKey {
-            window: Window::of(wall),
+            window: self.terms.of(wall),
             workspace: row.workspace.clone(),
             class: row.class.clone(),
         };
--- a/lib/src/view.rs
+++ b/lib/src/view.rs
@@ -16,6 +16,7 @@
 use crate::ids::ModelId;
 use crate::ids::WorkspaceId;
 use crate::rules::Class;
+use crate::rules::Document;
 use crate::rules::Endpoint;
 use crate::rules::Key;
 use crate::rules::KeyHash;
@@ -70,6 +71,7 @@
     candidates: HashMap<String, Vec<Arc<Endpoint>>>,
     models: HashMap<ModelId, Vec<Arc<Route>>>,
     paths: Vec<(String, Arc<Route>)>,
+    document: Option<Arc<Document>>,
 }
 
 impl View {
@@ -123,6 +125,11 @@
         self.routes.values().map(Arc::as_ref)
     }
 
+    /// Returns the configuration document, unless there is none yet.
+    pub fn document(&self) -> Option<&Arc<Document>> {
+        self.document.as_ref()
+    }
+
     /// Returns the limit of a workspace.
     pub fn limit(&self, workspace: &str) -> Option<&Limit> {
         self.limits.get(workspace)
@@ -322,6 +329,7 @@
             RuleBody::Endpoint(_) => {
                 self.endpoints.remove(&rule.key.name);
             }
+            RuleBody::Document(_) => self.document = None,
         }
     }
 
@@ -351,6 +359,7 @@
             RuleBody::Endpoint(e) => {
                 self.endpoints.insert(name, Arc::new(e.clone()));
             }
+            RuleBody::Document(d) => self.document = Some(Arc::new(d.clone())),
         }
         Ok(())
     }
@@ -428,7 +437,10 @@
             keys.push(rule_key(RuleKind::Class, r.class.as_str()));
             keys
         }
-        RuleBody::Workspace(_) | RuleBody::Class(_) | RuleBody::Endpoint(_) => Vec::new(),
+        RuleBody::Workspace(_)
+        | RuleBody::Class(_)
+        | RuleBody::Endpoint(_)
+        | RuleBody::Document(_) => Vec::new(),
     }
 }
 
--- a/lib/src/voter.rs
+++ b/lib/src/voter.rs
@@ -28,6 +28,7 @@
 use crate::raft::Role;
 use crate::raft_member::MemberChange;
 use crate::raft_member::Membership;
+use crate::raft_member::ReplacementPolicy;
 use crate::raft_message::Entry;
 use crate::raft_message::HardState;
 use crate::raft_message::Index;
@@ -302,13 +303,9 @@
         if view.version() > before
             && let Some(leadership) = &mut self.leadership
         {
-            let edits = match &stamped.command {
-                Command::Apply(change) => change.edits.as_slice(),
-                _ => &[],
-            };
             leadership
                 .publisher
-                .publish(view.clone(), edits.iter().cloned());
+                .publish(view.clone(), stamped.command.edits());
         }
         Some(reply)
     }
@@ -347,6 +344,32 @@
         self.raft.quorum_age(now)
     }
 
+    /// Returns the first voters, as long as no leader has been heard of and nothing was applied.
+    pub fn founders(&self) -> Option<Membership> {
+        let members = self.raft.members();
+        let untouched = self.raft.leader().is_none() && self.state.index() == 0;
+        let all_vote = members.iter().all(|(_, member)| member.voting);
+        (untouched && all_vote).then(|| members.clone())
+    }
+
+    /// Removes a voter that has been silent for long, as long as a working majority remains.
+    ///
+    /// For groups whose members come and go under new names, where no learner tells which voter it
+    /// replaces. A removed voter that returns joins again as a learner.
+    pub fn remove_failed(&mut self, now: Instant) {
+        if !self.is_leader() {
+            return;
+        }
+        let health = self.raft.health(now);
+        let Some(change) = ReplacementPolicy::default().retire(&health) else {
+            return;
+        };
+        match self.raft.change(now, change.clone()) {
+            Ok(_) => tracing::info!(?change, "removes a failed voter"),
+            Err(error) => tracing::debug!(?change, %error, "cannot change the membership yet"),
+        }
+    }
+
     /// Replaces a lost voter, or adds a new one, when a learner has caught up.
     ///
     /// The lost identity is removed first: with it among the voters, the majority would need the
--- a/lib/tests/test_upstream.rs
+++ b/lib/tests/test_upstream.rs
@@ -35,6 +35,7 @@
         headers: HeaderMap::new(),
         body: "{}".into(),
         pooled,
+        echo: None,
     }
 }
 
