Let learners answer a leader that only the message names

Cause: a learner found through seeds knew no address for the leader, so it never answered and was never promoted; the group kept three voters and two lost disks ended it. On SIGTERM the front kept accepting while requests were open, so a late one was cut at the grace time.

--- a/lib/src/control_answer.rs
+++ b/lib/src/control_answer.rs
@@ -248,9 +248,10 @@
             tracing::warn!(%peer, "dropped a malformed message");
             return;
         };
-        if let Some(known) = self.peers.iter().find(|known| known.name == *peer) {
-            let mut senders = self.senders.borrow_mut();
-            senders.insert(delivery.from, known.address);
+        let known = self.peers.iter().find(|known| known.name == *peer);
+        let stated = || delivery.address.parse().ok().filter(|_| self.discovers());
+        if let Some(address) = known.map(|known| known.address).or_else(stated) {
+            self.senders.borrow_mut().insert(delivery.from, address);
         }
         let now = self.clock.now();
         let mut voter = self.voter.borrow_mut();
--- a/lib/src/control_core.rs
+++ b/lib/src/control_core.rs
@@ -298,6 +298,7 @@
             let delivery = encode(&Delivery {
                 from,
                 to: outgoing.to,
+                address: self.address.to_string(),
                 message: outgoing.message.clone(),
             });
             self.link(address).deliver(&delivery, DELIVER_TIMEOUT);
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -51,9 +51,6 @@
 /// Time for handing leadership over and for giving leases up at a stop.
 const HAND_OVER: Duration = Duration::from_millis(1_500);
 
-/// Interval at which a stopping instance looks for open requests.
-const OPEN_PERIOD: Duration = Duration::from_millis(20);
-
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
@@ -221,17 +218,16 @@
         if let Some(forwarder) = &self.forwarder {
             forwarder.leave();
             thread::sleep(LEAVING.min(self.settings.grace / 2));
-            while forwarder.open() > 0 && Instant::now() < end {
-                thread::sleep(OPEN_PERIOD);
-            }
-        }
-        if let Some(duties) = self.duties.take() {
-            duties.stop(HAND_OVER);
+            tracing::info!(open = forwarder.open(), "takes no new requests");
         }
+        // A request that came later could not be finished within the grace time.
         if let Some(front) = self.front.take() {
             let clean = front.close(end.saturating_duration_since(Instant::now()));
             tracing::info!(clean, "closed the connections of callers");
         }
+        if let Some(duties) = self.duties.take() {
+            duties.stop(HAND_OVER);
+        }
         if let Some(discovery) = self.discovery.take() {
             discovery.stop();
         }
--- a/lib/src/peer_message.rs
+++ b/lib/src/peer_message.rs
@@ -177,6 +177,8 @@
     pub from: MemberId,
     /// The receiver; a member that lost its data is not addressed by its old identity.
     pub to: MemberId,
+    /// Peer address of the sender, for a receiver that does not know the members yet.
+    pub address: String,
     /// The message.
     pub message: Message,
 }
