Order endpoints by need and read long prompts apart

Cause: all nine engines of the start were billed whatever the load, and long prompts delayed the events of short requests on every engine. Instances now add their work up with their polls; the leader plans the stock from it, mostly of reclaimable engines, and all entries keep the same engines for long prompts.

--- a/lib/src/cluster_control.rs
+++ b/lib/src/cluster_control.rs
@@ -29,6 +29,7 @@
 use crate::state::State;
 use crate::view::Version;
 use crate::view::View;
+use crate::work::Works;
 
 /// Time by which the control thread answers before the caller gives up, so that a certain answer
 /// is not lost to a race of two timers.
@@ -117,6 +118,20 @@
         receiver
     }
 
+    /// Notes the work that the callers of this instance ask of services.
+    pub fn set_work(&self, works: Works) {
+        *self.shared.work.lock().expect("work lock poisoned") = works;
+    }
+
+    /// Returns the work of all instances, as far as this one knows.
+    pub fn total_work(&self) -> Arc<Works> {
+        self.shared
+            .total
+            .read()
+            .expect("work lock poisoned")
+            .clone()
+    }
+
     /// Returns the newest view, whether or not its lease has expired; not for serving callers.
     pub fn held_view(&self) -> Option<Arc<View>> {
         let published = self.shared.published.read().expect("view lock poisoned");
--- a/lib/src/control_answer.rs
+++ b/lib/src/control_answer.rs
@@ -96,6 +96,10 @@
         let update = publisher.answer(now, poll, age).map_err(|_| NotLeading)?;
         let chunks = self.grant(publisher, now, age, &poll.poller.instance, &request.demand);
         let entries = self.count_entries(publisher, now);
+        let mut works = self.works.borrow_mut();
+        works.set(now, &poll.poller.instance, request.work.clone());
+        let work = works.sum(now);
+        self.shared.set_total(work.clone());
         let members = voter.raft().members().iter();
         let members = members.map(|(_, member)| member.address.clone()).collect();
         Ok(Some(PollResponse::News(Box::new(News {
@@ -105,6 +109,7 @@
             chunks,
             entries,
             members,
+            work,
         }))))
     }
 
--- a/lib/src/control_core.rs
+++ b/lib/src/control_core.rs
@@ -45,6 +45,7 @@
 use crate::view::Version;
 use crate::voter::Opened;
 use crate::voter::Voter;
+use crate::work::WorkSum;
 
 /// Time that a poll is held while there is no news.
 pub const POLL_HOLD: Duration = Duration::from_millis(250);
@@ -121,6 +122,8 @@
     pub(crate) hint: RefCell<Option<Whereabouts>>,
     pub(crate) senders: RefCell<HashMap<MemberId, SocketAddr>>,
     pub(crate) pools: RefCell<Option<(u64, Pools)>>,
+    /// Work of the instances that poll this one.
+    pub(crate) works: RefCell<WorkSum>,
     seen: Cell<(bool, Version, Version, u64)>,
 }
 
@@ -159,6 +162,7 @@
             hint: RefCell::default(),
             senders: RefCell::default(),
             pools: RefCell::default(),
+            works: RefCell::default(),
             seen: Cell::default(),
         })
     }
--- a/lib/src/control_shared.rs
+++ b/lib/src/control_shared.rs
@@ -35,6 +35,7 @@
 use crate::usage::UsageCounter;
 use crate::view::Version;
 use crate::view::View;
+use crate::work::Works;
 
 /// Requests of traffic threads that wait for the control thread; more are refused.
 pub const MAX_REQUESTS: usize = 4_096;
@@ -76,6 +77,10 @@
     pub usage: UsageCounter,
     /// State of the process for operators.
     pub status: Mutex<Status>,
+    /// Work that the callers of this instance ask of services.
+    pub work: Mutex<Works>,
+    /// Work that the callers of all instances ask of services, as far as this one knows.
+    pub total: ShardedLock<Arc<Works>>,
     /// Instances that serve callers; 0 until it is known.
     entries: AtomicU32,
     queue: Sender<Request>,
@@ -92,6 +97,8 @@
             shares: Shares::default(),
             usage: UsageCounter::new(terms),
             status: Mutex::default(),
+            work: Mutex::default(),
+            total: ShardedLock::default(),
             entries: AtomicU32::new(0),
             queue,
             wake: Notify::new(),
@@ -109,6 +116,11 @@
         self.entries.store(count, Ordering::Relaxed);
     }
 
+    /// Notes the work of all instances.
+    pub fn set_total(&self, works: Works) {
+        *self.total.write().expect("work lock poisoned") = Arc::new(works);
+    }
+
     /// Hands a request to the control thread; returns whether it was accepted.
     pub fn send(&self, request: Request) -> bool {
         let sent = self.queue.try_send(request).is_ok();
--- a/lib/src/control_thread.rs
+++ b/lib/src/control_thread.rs
@@ -348,6 +348,7 @@
         suspects: core.revision.get(),
         usage,
         demand: core.shared.shares.demand(sent),
+        work: core.shared.work.lock().expect("work lock poisoned").clone(),
     });
     let answer = tokio::select! {
         answer = link.poll(&request, POLL_TIMEOUT) => answer,
@@ -385,6 +386,7 @@
     core.shared.shares.receive(sent, &news.chunks);
     core.shared.set_entries(news.entries);
     core.learn_members(&news.members);
+    core.shared.set_total(news.work);
     core.notify_news();
     if let Some(suspects) = &news.suspects {
         core.install_suspects(suspects);
--- a/lib/src/discovery.rs
+++ b/lib/src/discovery.rs
@@ -80,7 +80,7 @@
     let platform = Platform::new(config.platform, config.clock.clone());
     let mut available = true;
     while !stopped.load(Ordering::Relaxed) {
-        let pause = match read(config, &platform) {
+        let pause = match read_list(config.dialect.as_ref(), &platform) {
             Ok((list, pages)) => {
                 if !std::mem::replace(&mut available, true) {
                     tracing::info!("the endpoint list can be read again");
@@ -110,6 +110,7 @@
     let now = config.clock.now();
     let mut fleet = config.fleet.lock().expect("fleet lock poisoned");
     let changes = fleet.install(now, list);
+    config.control.set_work(fleet.works(now));
     drop(fleet);
     for change in changes {
         tracing::info!(
@@ -122,15 +123,15 @@
 }
 
 /// Reads all pages.
-pub fn read(
-    config: &Config,
+pub fn read_list(
+    dialect: &dyn Dialect,
     platform: &Platform,
 ) -> Result<(Vec<ListedEndpoint>, usize), Box<dyn std::error::Error>> {
     let mut list = Vec::new();
     let mut next: Option<String> = None;
     for pages in 1..=MAX_PAGES {
-        let call = config.dialect.list_call(next.as_deref());
-        let page = config.dialect.list_page(&platform.read(&call)?)?;
+        let call = dialect.list_call(next.as_deref());
+        let page = dialect.list_page(&platform.read(&call)?)?;
         if page.skipped > 0 {
             tracing::debug!(skipped = page.skipped, "unreadable entries of the list");
         }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -23,6 +23,10 @@
 use crate::ids::EndpointId;
 use crate::ids::ServiceId;
 use crate::ids::ZoneId;
+use crate::work::LONG_PROMPT;
+use crate::work::Rate;
+use crate::work::Work;
+use crate::work::Works;
 
 /// Prompt tokens that an engine reads in a millisecond, until it was observed; a usual figure for
 /// large models.
@@ -63,6 +67,20 @@
 /// Delay in milliseconds that a silent endpoint counts for.
 const SILENT_DELAY: f64 = 8_000.0;
 
+/// Disadvantage in milliseconds of an engine that reads long prompts, for a short request: each
+/// chunk that the engine reads delays all events there.
+const READER_DELAY: f64 = 250.0;
+
+/// Disadvantage in milliseconds of an engine that is kept free of long prompts, for a long one.
+const KEPT_DELAY: f64 = 1_000.0;
+
+/// Times the reading time of a shared part that reading it again counts for besides, since it costs
+/// the other requests of the engine as much.
+const AGAIN_WEIGHT: f64 = 2.0;
+
+/// Use by long prompts up to which another engine is not needed for them.
+const READER_USE: f64 = 0.6;
+
 /// Age from which a stated load says nothing.
 const STALE: Duration = Duration::from_secs(2);
 
@@ -85,6 +103,8 @@
     pub excluded: &'a [EndpointId],
     /// Time that is left for its first byte.
     pub left: Duration,
+    /// Work that all callers ask of the service.
+    pub total: Work,
 }
 
 /// Where a request goes.
@@ -92,6 +112,8 @@
 pub struct Choice {
     /// The endpoint.
     pub listed: ListedEndpoint,
+    /// Prompt tokens.
+    pub prompt: u32,
     /// Prompt tokens that it has still to read.
     pub unread: u32,
     /// Expected time to the first byte.
@@ -203,10 +225,27 @@
     services: HashMap<ServiceId, Vec<EndpointId>>,
     memories: HashMap<ServiceId, u64>,
     rates: HashMap<ServiceId, f64>,
+    flows: HashMap<ServiceId, Flows>,
     places: HashMap<Ticket, EndpointId>,
     next: u64,
 }
 
+/// Unread prompt tokens of the own requests.
+#[derive(Debug)]
+struct Flows {
+    long: Rate,
+    short: Rate,
+}
+
+impl Flows {
+    fn new(now: Instant) -> Self {
+        Self {
+            long: Rate::new(now),
+            short: Rate::new(now),
+        }
+    }
+}
+
 impl Fleet {
     /// Creates the knowledge of an instance in a zone.
     pub fn new(zone: ZoneId) -> Self {
@@ -216,6 +255,7 @@
             services: HashMap::new(),
             memories: HashMap::new(),
             rates: HashMap::new(),
+            flows: HashMap::new(),
             places: HashMap::new(),
             next: 0,
         }
@@ -277,13 +317,6 @@
         self.endpoints.values().map(|endpoint| &endpoint.listed)
     }
 
-    /// Returns the own calls and the unread prompt tokens of a service.
-    pub fn work(&self, service: &ServiceId) -> (usize, u64) {
-        self.of(service).fold((0, 0), |(calls, unread), endpoint| {
-            (calls + endpoint.own.len(), unread + endpoint.unread())
-        })
-    }
-
     fn of(&self, service: &ServiceId) -> impl Iterator<Item = &Endpoint> {
         let ids = self.services.get(service).into_iter().flatten();
         ids.filter_map(|id| self.endpoints.get(id))
@@ -292,7 +325,10 @@
     /// Chooses the endpoint with the shortest expected time to the first byte.
     pub fn choose(&self, now: Instant, want: &Want<'_>) -> Result<Choice, NoChoice> {
         let rate = self.rates.get(want.service).copied().unwrap_or(READ_RATE);
-        let home = self.home(want);
+        let readers = self.readers(want, rate);
+        let is_long = want.prompt >= LONG_PROMPT;
+        let suits = |e: &Endpoint| readers.is_empty() || is_long == readers.contains(&e.hash);
+        let home = self.home(want, suits);
         let mut best: Option<(f64, &Endpoint, u32)> = None;
         for endpoint in self.of(want.service).filter(|e| e.is_usable()) {
             if want.excluded.contains(&endpoint.listed.id) {
@@ -304,7 +340,12 @@
                 _ => endpoint.cache.cached(want.parts),
             };
             let unread = want.prompt.saturating_sub(cached);
-            let score = endpoint.delay(now, unread, rate, &self.zone);
+            let mut score = endpoint.delay(now, unread, rate, &self.zone);
+            let again = shared(want.parts).saturating_sub(cached);
+            score += f64::from(again) / rate * AGAIN_WEIGHT;
+            if !suits(endpoint) {
+                score += if is_long { KEPT_DELAY } else { READER_DELAY };
+            }
             if best.is_none_or(|(least, _, _)| score < least) {
                 best = Some((score, endpoint, unread));
             }
@@ -316,16 +357,55 @@
         }
         Ok(Choice {
             listed: endpoint.listed.clone(),
+            prompt: want.prompt,
             unread,
             expected,
         })
     }
 
+    /// Returns the endpoints, by their hashes, that read long prompts, so that the others serve short
+    /// requests without pauses; none if the service has too few endpoints or no such mix.
+    ///
+    /// All instances order the endpoints alike and know the same total, so they agree. Reclaimable
+    /// endpoints come first, because long requests have the most time to be repeated.
+    fn readers(&self, want: &Want<'_>, rate: f64) -> Vec<u64> {
+        let mut usable: Vec<_> = self
+            .of(want.service)
+            .filter(|e| e.is_usable())
+            .map(|e| (!e.listed.reclaimable, e.hash))
+            .collect();
+        if usable.len() < 2 || want.total.long <= 0.0 || want.total.short <= 0.0 {
+            return Vec::new();
+        }
+        usable.sort_unstable();
+        let needed = want.total.long / (rate * 1_000.0 * READER_USE);
+        let count = (needed.ceil() as usize).clamp(1, usable.len() - 1);
+        usable[..count].iter().map(|(_, hash)| *hash).collect()
+    }
+
+    /// Returns the work that the own callers ask of services.
+    pub fn works(&self, now: Instant) -> Works {
+        let work = |(service, flows): (&ServiceId, &Flows)| {
+            let calls = self.of(service).map(|e| e.own.len()).sum::<usize>();
+            let work = Work {
+                long: flows.long.get(now),
+                short: flows.short.get(now),
+                calls: calls as f64,
+                rate: self.rates.get(service).copied().unwrap_or(READ_RATE),
+            };
+            (service.clone(), work)
+        };
+        self.flows.iter().map(work).collect()
+    }
+
     /// Returns the endpoint, by its hash, where a shared part that none is known to hold belongs.
-    fn home(&self, want: &Want<'_>) -> Option<u64> {
+    fn home(&self, want: &Want<'_>, suits: impl Fn(&Endpoint) -> bool) -> Option<u64> {
         let count = want.parts.len().checked_sub(1)?;
         let shared = want.parts[..count].last()?;
-        let usable = || self.of(want.service).filter(|e| e.is_usable());
+        let usable = || {
+            let usable = self.of(want.service).filter(|e| e.is_usable());
+            usable.filter(|e| suits(e))
+        };
         if usable().any(|e| e.cache.held.contains_key(&shared.id)) {
             return None;
         }
@@ -337,6 +417,16 @@
     /// Records a call that is about to be sent.
     pub fn start(&mut self, now: Instant, choice: &Choice, parts: &[PromptPart]) -> Ticket {
         self.next += 1;
+        let flows = self
+            .flows
+            .entry(choice.listed.service.clone())
+            .or_insert_with(|| Flows::new(now));
+        let prompt: u32 = choice.prompt;
+        let flow = match prompt >= LONG_PROMPT {
+            true => &mut flows.long,
+            false => &mut flows.short,
+        };
+        flow.add(now, f64::from(choice.unread));
         let ticket = Ticket(self.next);
         let memory = self.memories.get(&choice.listed.service);
         let limit = (memory.copied().unwrap_or(DEFAULT_MEMORY) as f64 * CACHE_SHARE) as u64;
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -605,6 +605,8 @@
 
     fn choose(&self) -> Result<(Choice, Ticket), NoChoice> {
         let now = self.now();
+        let control = &self.forwarder.settings.control;
+        let total = control.total_work().get(&self.service).copied();
         let mut fleet = self.forwarder.fleet();
         let mut want = Want {
             service: &self.service,
@@ -612,6 +614,7 @@
             parts: &self.ask.parts,
             excluded: &self.excluded,
             left: self.left(),
+            total: total.unwrap_or_default(),
         };
         let choice = match fleet.choose(now, &want) {
             Err(NoChoice::Nowhere) if !self.excluded.is_empty() => {
@@ -621,6 +624,7 @@
             other => other?,
         };
         let ticket = fleet.start(now, &choice, &self.ask.parts);
+        control.set_work(fleet.works(now));
         Ok((choice, ticket))
     }
 
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -85,6 +85,8 @@
     pub list_rate: f64,
     /// Whether usage is reported to the platform.
     pub reports: bool,
+    /// Whether endpoints are ordered from the platform.
+    pub orders: bool,
     /// Length of usage windows.
     pub terms: UsageTerms,
     /// Repeats that a service allows, as a part of its requests.
@@ -194,12 +196,9 @@
         dialect: &Arc<dyn Dialect>,
         clock: &Arc<dyn Clock>,
     ) -> eyre::Result<()> {
-        let votes = self.settings.data.is_some();
-        let Some(platform) = self
-            .settings
-            .platform
-            .filter(|_| votes && self.settings.reports)
-        else {
+        let settings = &self.settings;
+        let has_duties = settings.data.is_some() && (settings.reports || settings.orders);
+        let Some(platform) = settings.platform.filter(|_| has_duties) else {
             return Ok(());
         };
         self.duties = Some(SiteDuties::start(site_duties::Config {
@@ -207,7 +206,9 @@
             dialect: dialect.clone(),
             control: self.control.control(),
             clock: clock.clone(),
-            terms: self.settings.terms,
+            terms: settings.terms,
+            reports: settings.reports,
+            orders: settings.orders,
         })?);
         Ok(())
     }
--- a/lib/src/peer_message.rs
+++ b/lib/src/peer_message.rs
@@ -20,6 +20,7 @@
 use crate::raft_message::Message;
 use crate::rule_state::CommittedChange;
 use crate::view::Version;
+use crate::work::Works;
 
 /// A poll with everything that travels with it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -34,6 +35,8 @@
     pub usage: Option<UsageReport>,
     /// Demand for quota.
     pub demand: Vec<DemandRow>,
+    /// Work that the callers of this instance ask of services.
+    pub work: Works,
 }
 
 /// Answer to a poll.
@@ -72,6 +75,8 @@
     pub entries: u32,
     /// Peer addresses of the members of the group.
     pub members: Vec<String>,
+    /// Work that the callers of all instances ask of services.
+    pub work: Works,
 }
 
 /// Fingerprints of requests that were in flight at crashes.
--- a/lib/src/site_duties.rs
+++ b/lib/src/site_duties.rs
@@ -1,4 +1,4 @@
-//! Exclusive calls to a platform that is reached through an adapter: usage reports.
+//! Exclusive calls to a platform that is reached through an adapter: usage reports and orders.
 //!
 //! The pure steps run on the control thread of the leader, the calls on a thread of their own, so
 //! that a silent platform delays no lease renewal.
@@ -21,23 +21,34 @@
 use crate::clock::Clock;
 use crate::cluster_control::ClusterControl;
 use crate::command::Command;
+use crate::command::LeaseKind;
 use crate::command::Reply;
 use crate::command::UsageTerms;
 use crate::control::Control;
 use crate::control::SubmitError;
 use crate::dialect::Dialect;
+use crate::dialect::EndpointOrder;
 use crate::dialect::Holder;
+use crate::dialect::ListedEndpoint;
+use crate::discovery;
 use crate::ids::InstanceId;
 use crate::ids::WorkspaceId;
+use crate::lease::Guard;
+use crate::lease::LeaseHolder;
 use crate::platform::Platform;
 use crate::platform::PlatformError;
 use crate::reporter;
 use crate::reporter::Reporter;
+use crate::route_table::RouteTable;
+use crate::stock::Stock;
 use crate::usage::WindowReport;
 
 /// Interval between two steps of the drivers.
 const STEP: Duration = Duration::from_millis(250);
 
+/// Interval between two readings of the endpoint list for orders.
+const LIST_PERIOD: Duration = Duration::from_secs(1);
+
 /// Time after which a command of the drivers is given up; they submit it again.
 const SUBMIT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -53,6 +64,10 @@
     pub clock: Arc<dyn Clock>,
     /// Length of usage windows.
     pub terms: UsageTerms,
+    /// Whether usage is reported.
+    pub reports: bool,
+    /// Whether endpoints are ordered.
+    pub orders: bool,
 }
 
 /// Running duties.
@@ -67,27 +82,27 @@
     pub fn start(config: Config) -> std::io::Result<Self> {
         let (stop, stopped) = bounded(1);
         let me = config.control.incarnation().clone();
-        let (calls, queue) = unbounded::<reporter::Report>();
-        let (done, results) = unbounded();
-        let caller = ReportCaller {
-            platform: Platform::new(config.platform, config.clock.clone()),
-            dialect: config.dialect.clone(),
-            instance: me.instance.clone(),
+        let caller = |name: &str| {
+            let caller = Caller {
+                platform: Platform::new(config.platform, config.clock.clone()),
+                dialect: config.dialect.clone(),
+                instance: me.instance.clone(),
+            };
+            CallThread::start(name, caller)
         };
-        thread::Builder::new()
-            .name("usage-reports".to_owned())
-            .spawn(move || {
-                for report in queue {
-                    let result = caller.send(&report);
-                    if done.send((report, result)).is_err() {
-                        return;
-                    }
-                }
-            })?;
         let runner = Runner {
-            reporter: Arc::new(Mutex::new(Reporter::new(me))),
-            calls,
-            results,
+            reporter: Arc::new(Mutex::new(Reporter::new(me.clone()))),
+            reports: caller("usage-reports")?,
+            buyer: Buyer {
+                holder: LeaseHolder::new(LeaseKind::Orders, me.clone()),
+                stock: Stock::default(),
+                fence: 0,
+                pending: 0,
+                listed: None,
+                platform: Platform::new(config.platform, config.clock.clone()),
+                table: None,
+            },
+            orders: caller("orders")?,
             leases: Vec::new(),
             releases: Vec::new(),
             config,
@@ -106,38 +121,104 @@
     }
 }
 
-/// Makes the calls of usage reports.
-struct ReportCaller {
+/// An exclusive call.
+#[derive(Debug)]
+enum Exclusive {
+    Report(reporter::Report),
+    Order(EndpointOrder, Guard),
+}
+
+/// A thread that makes calls one after the other.
+struct CallThread {
+    calls: Sender<Exclusive>,
+    results: Receiver<(Exclusive, Result<(), PlatformError>)>,
+}
+
+impl CallThread {
+    fn start(name: &str, caller: Caller) -> std::io::Result<Self> {
+        let (calls, queue) = unbounded::<Exclusive>();
+        let (done, results) = unbounded();
+        thread::Builder::new()
+            .name(name.to_owned())
+            .spawn(move || {
+                for call in queue {
+                    let result = caller.send(&call);
+                    if done.send((call, result)).is_err() {
+                        return;
+                    }
+                }
+            })?;
+        Ok(Self { calls, results })
+    }
+
+    fn send(&self, call: Exclusive) {
+        if self.calls.send(call).is_err() {
+            tracing::error!("a thread of exclusive calls has ended");
+        }
+    }
+}
+
+/// Makes exclusive calls.
+struct Caller {
     platform: Platform,
     dialect: Arc<dyn Dialect>,
     instance: InstanceId,
 }
 
-impl ReportCaller {
-    fn send(&self, report: &reporter::Report) -> Result<(), PlatformError> {
-        let frozen: WindowReport = serde_json::from_slice(&report.bytes)
-            .map_err(|error| PlatformError::Unreachable(error.to_string()))?;
-        let mut counts: BTreeMap<WorkspaceId, u64> = BTreeMap::new();
-        for row in frozen.rows.iter().filter(|row| !row.late) {
-            *counts.entry(row.workspace.clone()).or_default() += row.counts.requests;
-        }
+impl Caller {
+    fn send(&self, call: &Exclusive) -> Result<(), PlatformError> {
+        let guard = match call {
+            Exclusive::Report(report) => report.guard,
+            Exclusive::Order(_, guard) => *guard,
+        };
         let holder = Holder {
             instance: &self.instance,
-            fence: report.guard.fence(),
+            fence: guard.fence(),
         };
-        let call = self.dialect.usage_call(holder, report.window, &counts);
-        self.platform.exclusive(report.guard, &call).map(drop)
+        let call = match call {
+            Exclusive::Report(report) => {
+                let counts = counts(&report.bytes)?;
+                self.dialect.usage_call(holder, report.window, &counts)
+            }
+            Exclusive::Order(order, _) => self.dialect.order_call(holder, order),
+        };
+        self.platform.exclusive(guard, &call).map(drop)
     }
 }
 
+/// Adds the rows of a frozen report up by workspace; late rows belong to no window any more.
+fn counts(frozen: &[u8]) -> Result<BTreeMap<WorkspaceId, u64>, PlatformError> {
+    let frozen: WindowReport = serde_json::from_slice(frozen)
+        .map_err(|error| PlatformError::Unreachable(error.to_string()))?;
+    let mut counts = BTreeMap::new();
+    for row in frozen.rows.iter().filter(|row| !row.late) {
+        *counts.entry(row.workspace.clone()).or_default() += row.counts.requests;
+    }
+    Ok(counts)
+}
+
+/// Orders endpoints while it holds the lease for that.
+struct Buyer {
+    holder: LeaseHolder,
+    stock: Stock,
+    /// Fencing number under which the stock was planned.
+    fence: u64,
+    /// Orders without a result.
+    pending: usize,
+    listed: Option<(Instant, Vec<ListedEndpoint>)>,
+    platform: Platform,
+    table: Option<(u64, Arc<RouteTable>)>,
+}
+
 type Answer = Receiver<Result<Reply, SubmitError>>;
 
 struct Runner {
     config: Config,
     reporter: Arc<Mutex<Reporter>>,
-    calls: Sender<reporter::Report>,
-    results: Receiver<(reporter::Report, Result<(), PlatformError>)>,
-    leases: Vec<(Instant, Answer)>,
+    reports: CallThread,
+    buyer: Buyer,
+    orders: CallThread,
+    leases: Vec<(LeaseKind, Instant, Answer)>,
     releases: Vec<Answer>,
 }
 
@@ -152,19 +233,123 @@
             self.collect();
             if let Some(actions) = self.step() {
                 self.carry_out(actions);
+                if self.config.orders {
+                    self.buy();
+                }
+            }
+        }
+    }
+
+    /// Orders endpoints, on a process that leads.
+    fn buy(&mut self) {
+        let clock = self.config.clock.clone();
+        let (now, wall) = (clock.now(), clock.wall());
+        if let Some(command) = self.buyer.holder.step(now, wall) {
+            let answer = self.config.control.submit_later(command, SUBMIT_TIMEOUT);
+            self.leases.push((LeaseKind::Orders, now, answer));
+        }
+        let Some(guard) = self.buyer.holder.guard(now, wall) else {
+            return;
+        };
+        if self.buyer.fence != guard.fence() {
+            self.buyer.fence = guard.fence();
+            self.buyer.stock.restart();
+        }
+        // One round at a time, so that a later order never overtakes an earlier one.
+        if self.buyer.pending > 0 {
+            return;
+        }
+        self.read_list(now);
+        self.read_table();
+        let Some((_, list)) = &self.buyer.listed else {
+            return;
+        };
+        let Some((_, table)) = &self.buyer.table else {
+            return;
+        };
+        let total = self.config.control.total_work();
+        for service in table.services() {
+            let work = total.get(&service.id).copied().unwrap_or_default();
+            for order in self.buyer.stock.plan(now, service, &work, list) {
+                tracing::info!(
+                    service = %order.service,
+                    zone = %order.zone,
+                    count = order.count,
+                    reclaimable = order.reclaimable,
+                    fence = guard.fence(),
+                    long = work.long as u64,
+                    short = work.short as u64,
+                    calls = work.calls as u64,
+                    rate = work.rate as u64,
+                    "orders endpoints"
+                );
+                self.buyer.pending += 1;
+                self.orders.send(Exclusive::Order(order, guard));
+            }
+        }
+    }
+
+    fn read_list(&mut self, now: Instant) {
+        let age = |(at, _): &(Instant, _)| now.saturating_duration_since(*at);
+        if self
+            .buyer
+            .listed
+            .as_ref()
+            .is_some_and(|l| age(l) < LIST_PERIOD)
+        {
+            return;
+        }
+        match discovery::read_list(self.config.dialect.as_ref(), &self.buyer.platform) {
+            Ok((list, _)) => self.buyer.listed = Some((now, list)),
+            Err(error) => {
+                // An old list would lead to orders for a stock that is not there.
+                tracing::warn!(%error, "orders nothing without the endpoint list");
+                self.buyer.listed = None;
             }
         }
     }
 
+    fn read_table(&mut self) {
+        let view = self.config.control.held_view();
+        let Some(document) = view.as_ref().and_then(|view| view.document()) else {
+            return;
+        };
+        let held = self.buyer.table.as_ref().map(|(revision, _)| *revision);
+        if held == Some(document.revision) {
+            return;
+        }
+        match self.config.dialect.table(&document.text) {
+            Ok(table) => self.buyer.table = Some((document.revision, Arc::new(table))),
+            Err(error) => tracing::error!(%error, "cannot read the document"),
+        }
+    }
+
+    fn ordered(&mut self, order: &EndpointOrder, result: &Result<(), PlatformError>) {
+        self.buyer.pending -= 1;
+        let now = self.config.clock.now();
+        let Err(error) = result else { return };
+        tracing::info!(service = %order.service, zone = %order.zone, %error, "order failed");
+        match error {
+            PlatformError::Refused { .. } => self.buyer.stock.refused(now, order),
+            _ => self.buyer.stock.lost(order),
+        }
+        if matches!(error, PlatformError::Unknown(_)) {
+            self.buyer.holder.note_unknown(now);
+        }
+    }
+
     /// Steps the driver on the control thread, if this process leads.
     fn step(&self) -> Option<Vec<reporter::Action>> {
         let reporter = self.reporter.clone();
         let clock = self.config.clock.clone();
-        let terms = self.config.terms;
+        let (terms, reports) = (self.config.terms, self.config.reports);
         let actions = self.config.control.inspect(move |state| {
             if state.usage().terms() != terms {
                 return vec![reporter::Action::Submit(Command::SetUsageTerms(terms))];
             }
+            if !reports {
+                return Vec::new();
+            }
             let mut reporter = reporter.lock().expect("reporter lock poisoned");
             reporter.step(clock.now(), clock.wall(), state)
         });
@@ -173,15 +358,27 @@
     }
 
     fn collect(&mut self) {
+        let orders: Vec<_> = self.orders.results.try_iter().collect();
+        for (call, result) in orders {
+            if let Exclusive::Order(order, _) = call {
+                self.ordered(&order, &result);
+            }
+        }
         let mut reporter = self.reporter.lock().expect("reporter lock poisoned");
         let now = self.config.clock.now();
-        for (report, result) in self.results.try_iter() {
-            reporter.reported(now, &report, &result);
+        for (call, result) in self.reports.results.try_iter() {
+            if let Exclusive::Report(report) = call {
+                reporter.reported(now, &report, &result);
+            }
         }
+        let holder = &mut self.buyer.holder;
         self.leases
-            .retain(|(asked, answer)| match answer.try_recv() {
+            .retain(|(kind, asked, answer)| match answer.try_recv() {
                 Ok(Ok(reply)) => {
-                    reporter.lease_reply(*asked, &reply);
+                    match kind {
+                        LeaseKind::Usage => reporter.lease_reply(*asked, &reply),
+                        LeaseKind::Orders => holder.reply(*asked, &reply),
+                    }
                     false
                 }
                 Ok(Err(_)) => false,
@@ -195,7 +392,7 @@
             match action {
                 reporter::Action::Lease { asked, command } => {
                     let answer = control.submit_later(command, SUBMIT_TIMEOUT);
-                    self.leases.push((asked, answer));
+                    self.leases.push((LeaseKind::Usage, asked, answer));
                 }
                 reporter::Action::Submit(command) => {
                     let releases = matches!(command, Command::ReleaseLease { .. });
@@ -205,9 +402,7 @@
                     }
                 }
                 reporter::Action::Report(report) => {
-                    if self.calls.send(report).is_err() {
-                        tracing::error!("the thread of usage reports has ended");
-                    }
+                    self.reports.send(Exclusive::Report(report));
                 }
                 reporter::Action::Log(record) => tracing::info!(
                     kind = record.kind,
@@ -239,9 +434,16 @@
                 (actions, reporter.is_stopped())
             };
             self.carry_out(actions);
+            let now = self.config.clock.now();
+            if self.buyer.pending == 0
+                && let Some(command) = self.buyer.holder.release(now)
+            {
+                let answer = self.config.control.submit_later(command, SUBMIT_TIMEOUT);
+                self.releases.push(answer);
+            }
             self.releases
                 .retain(|answer| answer.try_recv().is_err_and(|error| error.is_empty()));
-            if stopped && self.releases.is_empty() {
+            if stopped && self.buyer.holder.is_released() && self.releases.is_empty() {
                 return;
             }
             thread::sleep(STEP / 10);
--- /dev/null
+++ b/lib/src/stock.rs
@@ -0,0 +1,243 @@
+//! How many endpoints of a service are ordered, of which kind and in which availability zone.
+//!
+//! The decision is pure. It answers these load patterns (`docs/platform.md`):
+//!
+//! * Waves and bursts: the stock follows the highest need of the last seconds with a reserve, since
+//!   an endpoint serves only some seconds after its order.
+//! * A zone of reclaimable endpoints that is taken back at once: they are spread over all zones, the
+//!   reserve covers the loss of one, and other endpoints are ordered where none are to be had.
+//! * Idle hours: what is not needed is given back, but not at the first quiet second.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::dialect::EndpointOrder;
+use crate::dialect::ListedEndpoint;
+use crate::ids::ServiceId;
+use crate::ids::ZoneId;
+use crate::route_table::Scaling;
+use crate::route_table::Service;
+use crate::work::Work;
+
+/// Use of an engine by long prompts at which their callers still wait little.
+const LONG_USE: f64 = 0.7;
+
+/// Use of an engine by short prompts at which no caller notices the others.
+const SHORT_USE: f64 = 0.35;
+
+/// Part of an engine's slots that may be taken before steps become slow.
+const SLOT_USE: f64 = 0.5;
+
+/// Times the highest remembered need that is kept in stock, for a burst that is larger still or the
+/// loss of a zone.
+const RESERVE: f64 = 1.3;
+
+/// Endpoints beyond the reserve, for the one that fails next.
+const SPARE: f64 = 1.0;
+
+/// Time for which the highest need is remembered; longer than the pauses between usual bursts.
+const MEMORY: Duration = Duration::from_secs(15);
+
+/// Time after the first request in which the need is not known yet.
+const LEARNING: Duration = Duration::from_secs(6);
+
+/// Time after which an availability zone without reclaimable endpoints is asked again.
+const DRY: Duration = Duration::from_secs(4);
+
+/// Time after which an order that shows no effect on the list is repeated; a late execution of an
+/// older order may have undone it.
+const REPEAT: Duration = Duration::from_secs(7);
+
+/// Kind of an order.
+type Place = (ServiceId, ZoneId, bool);
+
+#[derive(Debug)]
+struct Sent {
+    count: u32,
+    at: Instant,
+}
+
+/// Plans the stock of all services.
+#[derive(Debug, Default)]
+pub struct Stock {
+    /// When callers were first seen.
+    started: Option<Instant>,
+    needs: BTreeMap<ServiceId, VecDeque<(Instant, f64)>>,
+    sent: BTreeMap<Place, Sent>,
+    dry: BTreeMap<(ServiceId, ZoneId), Instant>,
+}
+
+impl Stock {
+    /// Forgets what was ordered, because somebody else may have ordered since.
+    pub fn restart(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Returns the orders to send now for one service.
+    pub fn plan(
+        &mut self,
+        now: Instant,
+        service: &Service,
+        work: &Work,
+        list: &[ListedEndpoint],
+    ) -> Vec<EndpointOrder> {
+        let Some(scaling) = &service.scaling else {
+            return Vec::new();
+        };
+        let wanted = self.wanted(now, service, work);
+        let counts = Counts::of(service, list);
+        let targets = self.targets(now, service, scaling, wanted, &counts);
+        let mut orders = Vec::new();
+        for ((zone, reclaimable), count) in targets {
+            let place = (service.id.clone(), zone.clone(), reclaimable);
+            let present = counts.get(&zone, reclaimable);
+            let is_due = match self.sent.get(&place) {
+                None => present != count,
+                Some(sent) if sent.count != count => true,
+                Some(sent) => present != count && now.saturating_duration_since(sent.at) >= REPEAT,
+            };
+            if is_due {
+                self.sent.insert(place, Sent { count, at: now });
+                orders.push(EndpointOrder {
+                    service: service.id.clone(),
+                    zone,
+                    count,
+                    reclaimable,
+                });
+            }
+        }
+        orders
+    }
+
+    /// Records that the platform has none of the ordered endpoints, or did not take the order.
+    pub fn refused(&mut self, now: Instant, order: &EndpointOrder) {
+        let place = (order.service.clone(), order.zone.clone(), order.reclaimable);
+        self.sent.remove(&place);
+        if order.reclaimable {
+            let place = (order.service.clone(), order.zone.clone());
+            self.dry.insert(place, now + DRY);
+        }
+    }
+
+    /// Records an order whose outcome is unknown, so that it is sent again.
+    pub fn lost(&mut self, order: &EndpointOrder) {
+        let place = (order.service.clone(), order.zone.clone(), order.reclaimable);
+        self.sent.remove(&place);
+    }
+
+    /// Returns the wanted number of endpoints, or `None` while the need is not known.
+    fn wanted(&mut self, now: Instant, service: &Service, work: &Work) -> Option<u32> {
+        let slots = service
+            .engine
+            .as_ref()
+            .map_or(1, |engine| engine.slots.max(1));
+        let engine = work.rate.max(1.0) * 1_000.0;
+        let reading = work.long / (engine * LONG_USE) + work.short / (engine * SHORT_USE);
+        let running = work.calls / (f64::from(slots) * SLOT_USE);
+        let need = reading.max(running);
+        let needs = self.needs.entry(service.id.clone()).or_default();
+        needs.push_back((now, need));
+        while let Some((at, _)) = needs.front()
+            && now.saturating_duration_since(*at) > MEMORY
+        {
+            needs.pop_front();
+        }
+        let highest = needs.iter().map(|(_, need)| *need).fold(0.0, f64::max);
+        if self.started.is_none() && highest > 0.0 {
+            self.started = Some(now);
+        }
+        let known = self.started?;
+        let is_learned = now.saturating_duration_since(known) >= LEARNING;
+        is_learned.then(|| (highest * RESERVE + SPARE).ceil() as u32)
+    }
+
+    fn targets(
+        &self,
+        now: Instant,
+        service: &Service,
+        scaling: &Scaling,
+        wanted: Option<u32>,
+        counts: &Counts,
+    ) -> BTreeMap<(ZoneId, bool), u32> {
+        let mut zones: Vec<_> = scaling.prices.clone();
+        zones.sort_by(|a, b| a.1.total_cmp(&b.1));
+        let mut targets = BTreeMap::new();
+        let Some(wanted) = wanted.filter(|_| !zones.is_empty()) else {
+            return targets;
+        };
+        let floor = scaling.min.saturating_mul(zones.len() as u32);
+        let wanted = wanted.max(floor);
+        if scaling.reclaimable.is_some() {
+            let each = wanted.div_ceil(zones.len() as u32);
+            for (zone, _) in &zones {
+                let place = (service.id.clone(), zone.clone());
+                let is_dry = self.dry.get(&place).is_some_and(|until| now < *until);
+                let count = match is_dry {
+                    true => counts.get(zone, true),
+                    false => each.clamp(scaling.min, scaling.max),
+                };
+                targets.insert((zone.clone(), true), count);
+            }
+        }
+        // Only endpoints that are there replace others.
+        let mut missing = wanted.saturating_sub(counts.reclaimable());
+        let mut others: BTreeMap<&ZoneId, u32> = zones.iter().map(|(zone, _)| (zone, 0)).collect();
+        for (zone, count) in &mut others {
+            let held = counts.get(zone, true);
+            let least = scaling.min.saturating_sub(held);
+            *count = least;
+            missing = missing.saturating_sub(least);
+        }
+        'fill: while missing > 0 {
+            let before = missing;
+            for (zone, _) in &zones {
+                let planned = targets.get(&(zone.clone(), true)).copied().unwrap_or(0);
+                let count = others.entry(zone).or_default();
+                if *count + planned < scaling.max {
+                    *count += 1;
+                    missing -= 1;
+                }
+                if missing == 0 {
+                    break 'fill;
+                }
+            }
+            if missing == before {
+                break;
+            }
+        }
+        for (zone, count) in others {
+            targets.insert((zone.clone(), false), count);
+        }
+        targets
+    }
+}
+
+/// Endpoints of a service on the list that are not leaving, by zone and kind.
+#[derive(Debug, Default)]
+struct Counts(BTreeMap<(ZoneId, bool), u32>);
+
+impl Counts {
+    fn of(service: &Service, list: &[ListedEndpoint]) -> Self {
+        let mut counts = Self::default();
+        for listed in list
+            .iter()
+            .filter(|l| l.service == service.id && !l.leaving)
+        {
+            let place = (listed.zone.clone(), listed.reclaimable);
+            *counts.0.entry(place).or_default() += 1;
+        }
+        counts
+    }
+
+    fn get(&self, zone: &ZoneId, reclaimable: bool) -> u32 {
+        let place = (zone.clone(), reclaimable);
+        self.0.get(&place).copied().unwrap_or(0)
+    }
+
+    fn reclaimable(&self) -> u32 {
+        let kinds = self.0.iter().filter(|((_, reclaimable), _)| *reclaimable);
+        kinds.map(|(_, count)| *count).sum()
+    }
+}
--- /dev/null
+++ b/lib/src/work.rs
@@ -0,0 +1,102 @@
+//! How much work callers ask of each service, added up over all instances.
+//!
+//! An instance sees its own requests only. Each tells the leader its part with its polls and gets
+//! the sum back, so that all agree on how endpoints are divided and how many are needed.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::InstanceId;
+use crate::ids::ServiceId;
+
+/// Prompt tokens from which a request is long: engines commonly read prompts in chunks of 4,096
+/// tokens, and each chunk delays the tokens of every request beside it.
+pub const LONG_PROMPT: u32 = 4_000;
+
+/// Time in which the memory of past requests fades to a part of 1/e.
+const FADE: Duration = Duration::from_secs(2);
+
+/// Age from which the part of an instance no longer counts; several polls.
+const STALE: Duration = Duration::from_secs(3);
+
+/// Work asked of one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Work {
+    /// Unread prompt tokens a second of requests with long prompts.
+    pub long: f64,
+    /// Unread prompt tokens a second of all other requests.
+    pub short: f64,
+    /// Requests at endpoints.
+    pub calls: f64,
+    /// Prompt tokens that an engine was seen to read in a millisecond.
+    pub rate: f64,
+}
+
+impl Work {
+    fn add(&mut self, other: &Self) {
+        self.long += other.long;
+        self.short += other.short;
+        self.calls += other.calls;
+        self.rate = self.rate.max(other.rate);
+    }
+}
+
+/// Work by service.
+pub type Works = BTreeMap<ServiceId, Work>;
+
+/// Tokens a second, from single requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Rate {
+    value: f64,
+    at: Instant,
+}
+
+impl Rate {
+    /// Creates a rate of zero.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            value: 0.0,
+            at: now,
+        }
+    }
+
+    /// Adds the tokens of a request.
+    pub fn add(&mut self, now: Instant, tokens: f64) {
+        self.value = self.get(now) + tokens / FADE.as_secs_f64();
+        self.at = now;
+    }
+
+    /// Returns the rate now.
+    pub fn get(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.at).as_secs_f64();
+        self.value * (-age / FADE.as_secs_f64()).exp()
+    }
+}
+
+/// The parts of all instances, at the leader.
+#[derive(Debug, Default)]
+pub struct WorkSum {
+    parts: BTreeMap<InstanceId, (Instant, Works)>,
+}
+
+impl WorkSum {
+    /// Takes over the part of an instance.
+    pub fn set(&mut self, now: Instant, instance: &InstanceId, works: Works) {
+        self.parts.insert(instance.clone(), (now, works));
+    }
+
+    /// Returns the sum of the parts that are not stale, which are forgotten.
+    pub fn sum(&mut self, now: Instant) -> Works {
+        self.parts
+            .retain(|_, (at, _)| now.saturating_duration_since(*at) < STALE);
+        let mut sum = Works::new();
+        for (service, work) in self.parts.values().flat_map(|(_, works)| works) {
+            sum.entry(service.clone()).or_default().add(work);
+        }
+        sum
+    }
+}
