--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -58,6 +58,16 @@
 /// Time in which the memory of a failure halves.
 const FAILURE_FADES: Duration = Duration::from_secs(2);
 
+/// Time for which a closed connection counts as a sign that an endpoint leaves; the list tells it
+/// by then.
+const LEAVING_FADES: Duration = Duration::from_millis(1_500);
+
+/// Delay in milliseconds that one closed connection counts for.
+const CLOSING_DELAY: f64 = 150.0;
+
+/// Delay in milliseconds that several closed connections count for.
+const LEAVING_DELAY: f64 = 3_000.0;
+
 /// Time without a first byte after which an endpoint counts as silent, at least.
 const SILENT: Duration = Duration::from_millis(800);
 
@@ -174,6 +184,8 @@
     /// Weight of failures at the time of the newest one.
     failures: f64,
     failed: Instant,
+    /// Recent answers after which it closed the connection.
+    closed: Vec<Instant>,
     /// Cannot be used until the list names it again.
     gone: bool,
     cache: Cache,
@@ -469,6 +481,18 @@
         }
     }
 
+    /// Records that an endpoint closes the connection after an answer, as one that leaves does before
+    /// the list tells.
+    pub fn closes(&mut self, now: Instant, ticket: Ticket) {
+        let endpoint = self.places.get(&ticket);
+        if let Some(endpoint) = endpoint.and_then(|id| self.endpoints.get_mut(id)) {
+            endpoint
+                .closed
+                .retain(|at| now.saturating_duration_since(*at) < LEAVING_FADES);
+            endpoint.closed.push(now);
+        }
+    }
+
     /// Records the end of a call; a second end of the same call changes nothing.
     pub fn end(&mut self, now: Instant, ticket: Ticket, end: CallEnd) {
         let Some(id) = self.places.remove(&ticket) else {
@@ -530,6 +554,7 @@
             load: None,
             failures: 0.0,
             failed: now,
+            closed: Vec::new(),
             gone: false,
             cache: Cache::default(),
         }
@@ -590,6 +615,13 @@
             delay += ZONE_DELAY;
         }
         delay += FAILURE_DELAY * self.recent_failures(now);
+        let recent = |at: &&Instant| now.saturating_duration_since(**at) < LEAVING_FADES;
+        delay += match self.closed.iter().filter(recent).count() {
+            0 => 0.0,
+            // A single one happens at sound endpoints, too.
+            1 => CLOSING_DELAY,
+            _ => LEAVING_DELAY,
+        };
         if self.is_silent(now) {
             delay += SILENT_DELAY;
         }
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -365,11 +365,11 @@
         let route = table.route(host, request.uri().path());
         let route = route.ok_or(ResultCode::UnknownRoute)?;
         if !table.needs_key(route) {
-            return Ok((route.clone(), None, route.rank));
+            return Ok((route.clone(), None, table.urgency(route, None)));
         }
         let caller = ask.key.as_deref().and_then(|key| table.caller(key));
         let caller = caller.ok_or(ResultCode::InvalidKey)?;
-        let rank = caller.rank.unwrap_or(route.rank);
+        let rank = table.urgency(route, Some(caller));
         Ok((route.clone(), Some(caller.workspace.clone()), rank))
     }
 
@@ -760,9 +760,12 @@
             }
         };
         let now = self.now();
-        self.forwarder
-            .fleet()
-            .answered(now, flight.ticket, facts.load);
+        let mut fleet = self.forwarder.fleet();
+        fleet.answered(now, flight.ticket, facts.load);
+        if answer.closes() {
+            fleet.closes(now, flight.ticket);
+        }
+        drop(fleet);
         let end = match () {
             () if facts.misdirected => CallEnd::Replaced,
             () if facts.refused => CallEnd::Refused,
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -43,10 +43,10 @@
 
 /// Time for which a stopping instance still takes requests, while balancers notice that it is not
 /// ready: two probes a second apart and the way back.
-const LEAVING: Duration = Duration::from_millis(3_300);
+const LEAVING: Duration = Duration::from_millis(2_600);
 
 /// Time kept at the end of a stop for closing connections.
-const CLOSING: Duration = Duration::from_millis(700);
+const CLOSING: Duration = Duration::from_millis(400);
 
 /// Time for handing leadership over and for giving leases up at a stop.
 const HAND_OVER: Duration = Duration::from_millis(1_500);
--- a/lib/src/route_table.rs
+++ b/lib/src/route_table.rs
@@ -3,6 +3,7 @@
 //! The table is built once for each document and then only read. A route is found by host and
 //! longest path prefix, without a look at the other routes of the host.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +15,9 @@
 use crate::ids::WorkspaceId;
 use crate::ids::ZoneId;
 
+/// Steps of urgency that engines tell apart.
+pub const URGENCIES: u8 = 10;
+
 /// Whether a request may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeat {
@@ -161,6 +165,8 @@
     hosts: HashMap<String, HashMap<String, Arc<Route>>>,
     services: HashMap<ServiceId, Arc<Service>>,
     keys: HashMap<String, Arc<Caller>>,
+    /// All ranks of a caller and a route that occur together, in their order.
+    ranks: Vec<(u8, u8)>,
 }
 
 /// Parts of a [`RouteTable`] as they stand in a document.
@@ -225,6 +231,7 @@
             hosts: HashMap::new(),
             services: HashMap::new(),
             keys: HashMap::new(),
+            ranks: Vec::new(),
         };
         for service in parts.services {
             table.services.insert(service.id.clone(), Arc::new(service));
@@ -235,6 +242,7 @@
         for (key, caller) in parts.keys.into_iter().flatten() {
             table.add_key(key, caller)?;
         }
+        table.set_ranks();
         Ok(table)
     }
 
@@ -261,6 +269,36 @@
         Ok(())
     }
 
+    fn set_ranks(&mut self) {
+        let routes: BTreeSet<u8> = self.routes().map(|route| route.rank).collect();
+        let callers: BTreeSet<u8> = self.keys.values().filter_map(|c| c.rank).collect();
+        let own = routes.iter().map(|rank| (*rank, *rank));
+        let both = callers.iter().flat_map(|c| routes.iter().map(|r| (*c, *r)));
+        let ranks: BTreeSet<_> = own.chain(both).collect();
+        self.ranks = ranks.into_iter().collect();
+    }
+
+    /// Returns the routes in no particular order.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flat_map(HashMap::values)
+    }
+
+    /// Returns the place of a request among all that engines run, 0 for the most urgent, below
+    /// [`URGENCIES`].
+    ///
+    /// The rank of the caller goes first. Where it leaves requests equal, the route decides, so that
+    /// an engine that must set one aside takes the least urgent kind.
+    pub fn urgency(&self, route: &Route, caller: Option<&Caller>) -> u8 {
+        let rank = caller.and_then(|c| c.rank).unwrap_or(route.rank);
+        let place = self.ranks.partition_point(|r| *r < (rank, route.rank));
+        let count = self.ranks.len().max(1);
+        let place = match count > usize::from(URGENCIES) {
+            true => place * usize::from(URGENCIES) / count,
+            false => place,
+        };
+        place.min(usize::from(URGENCIES) - 1) as u8
+    }
+
     fn add_key(&mut self, key: String, caller: Caller) -> Result<(), TableError> {
         let workspace = caller.workspace.clone();
         match self.keys.insert(key, Arc::new(caller)) {
--- a/lib/src/stock.rs
+++ b/lib/src/stock.rs
@@ -30,9 +30,9 @@
 /// Part of an engine's slots that may be taken before steps become slow.
 const SLOT_USE: f64 = 0.5;
 
-/// Times the highest remembered need that is kept in stock, for a burst that is larger still or the
-/// loss of a zone.
-const RESERVE: f64 = 1.3;
+/// Times the highest remembered need that is kept in stock, for a burst that is larger still; the
+/// loss of a zone comes on top.
+const RESERVE: f64 = 1.2;
 
 /// Endpoints beyond the reserve, for the one that fails next.
 const SPARE: f64 = 1.0;
@@ -150,7 +150,16 @@
         }
         let known = self.started?;
         let is_learned = now.saturating_duration_since(known) >= LEARNING;
-        is_learned.then(|| (highest * RESERVE + SPARE).ceil() as u32)
+        is_learned.then(|| {
+            // With one zone taken back at once, the others still hold what is needed.
+            let zones = service
+                .scaling
+                .as_ref()
+                .map_or(1, |s| s.prices.len())
+                .max(2) as f64;
+            let spread = zones / (zones - 1.0);
+            (highest * RESERVE * spread + SPARE).ceil() as u32
+        })
     }
 
     fn targets(
--- a/lib/src/upstream.rs
+++ b/lib/src/upstream.rs
@@ -295,6 +295,12 @@
 }
 
 impl Answer {
+    /// Tells whether the endpoint closes the connection after this answer.
+    pub fn closes(&self) -> bool {
+        let value = self.headers.get(http::header::CONNECTION);
+        value.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+    }
+
     /// Tells whether the body is not the endpoint's own bytes but an encoding of them.
     pub fn is_encoded(&self) -> bool {
         self.headers.contains_key(http::header::CONTENT_ENCODING)
