Replace endpoints by reclaimable ones before the first load

Cause: endpoints at the full price stayed until the need was known, and a list that was still filling led to orders for fewer than were there.

--- a/lib/src/stock.rs
+++ b/lib/src/stock.rs
@@ -41,7 +41,10 @@
 const MEMORY: Duration = Duration::from_secs(15);
 
 /// Time after the first request in which the need is not known yet.
-const LEARNING: Duration = Duration::from_secs(6);
+const LEARNING: Duration = Duration::from_secs(5);
+
+/// Time in which the list is complete, although it lags and fills one by one at the first start.
+const SETTLING: Duration = Duration::from_secs(4);
 
 /// Time after which an availability zone without reclaimable endpoints is asked again.
 const DRY: Duration = Duration::from_secs(4);
@@ -50,6 +53,15 @@
 /// older order may have undone it.
 const REPEAT: Duration = Duration::from_secs(7);
 
+/// Numbers of endpoints of one service.
+#[derive(Clone, Copy, Debug)]
+struct Need {
+    /// Needed at whatever price.
+    least: u32,
+    /// Kept in reserve where they are cheap.
+    stock: u32,
+}
+
 /// Kind of an order.
 type Place = (ServiceId, ZoneId, bool);
 
@@ -64,6 +76,10 @@
 pub struct Stock {
     /// When callers were first seen.
     started: Option<Instant>,
+    /// Most endpoints of each service that were there at once, before its need was known.
+    first: BTreeMap<ServiceId, u32>,
+    /// When the list was first looked at.
+    looked: Option<Instant>,
     needs: BTreeMap<ServiceId, VecDeque<(Instant, f64)>>,
     sent: BTreeMap<Place, Sent>,
     dry: BTreeMap<(ServiceId, ZoneId), Instant>,
@@ -86,9 +102,13 @@
         let Some(scaling) = &service.scaling else {
             return Vec::new();
         };
-        let wanted = self.wanted(now, service, work);
+        let looked = *self.looked.get_or_insert(now);
         let counts = Counts::of(service, list);
-        let targets = self.targets(now, service, scaling, wanted, &counts);
+        let need = self.need(now, service, work, counts.total());
+        if now.saturating_duration_since(looked) < SETTLING {
+            return Vec::new();
+        }
+        let targets = self.targets(now, service, scaling, need, &counts);
         let mut orders = Vec::new();
         for ((zone, reclaimable), count) in targets {
             let place = (service.id.clone(), zone.clone(), reclaimable);
@@ -127,18 +147,14 @@
         self.sent.remove(&place);
     }
 
-    /// Returns the wanted number of endpoints, or `None` while the need is not known.
-    fn wanted(&mut self, now: Instant, service: &Service, work: &Work) -> Option<u32> {
-        let slots = service
-            .engine
-            .as_ref()
-            .map_or(1, |engine| engine.slots.max(1));
+    /// Returns how many endpoints of a service are needed; what is there, while that is not known.
+    fn need(&mut self, now: Instant, service: &Service, work: &Work, present: u32) -> Need {
+        let slots = service.engine.as_ref().map_or(1, |engine| engine.slots);
         let engine = work.rate.max(1.0) * 1_000.0;
         let reading = work.long / (engine * LONG_USE) + work.short / (engine * SHORT_USE);
-        let running = work.calls / (f64::from(slots) * SLOT_USE);
-        let need = reading.max(running);
+        let running = work.calls / (f64::from(slots.max(1)) * SLOT_USE);
         let needs = self.needs.entry(service.id.clone()).or_default();
-        needs.push_back((now, need));
+        needs.push_back((now, reading.max(running)));
         while let Some((at, _)) = needs.front()
             && now.saturating_duration_since(*at) > MEMORY
         {
@@ -148,18 +164,30 @@
         if self.started.is_none() && highest > 0.0 {
             self.started = Some(now);
         }
-        let known = self.started?;
-        let is_learned = now.saturating_duration_since(known) >= LEARNING;
-        is_learned.then(|| {
-            // With one zone taken back at once, the others still hold what is needed.
-            let zones = service
-                .scaling
-                .as_ref()
-                .map_or(1, |s| s.prices.len())
-                .max(2) as f64;
-            let spread = zones / (zones - 1.0);
-            (highest * RESERVE * spread + SPARE).ceil() as u32
-        })
+        let first = self.first.entry(service.id.clone()).or_insert(present);
+        // Later the list also holds what was ordered.
+        if self
+            .looked
+            .is_none_or(|at| now.saturating_duration_since(at) < SETTLING)
+        {
+            *first = present.max(*first);
+        }
+        let first = *first;
+        let age = self.started.map(|at| now.saturating_duration_since(at));
+        if age.is_none_or(|age| age < LEARNING) {
+            return Need {
+                least: first,
+                stock: first,
+            };
+        }
+        // With one zone taken back at once, the others still hold what is needed.
+        let zones = service.scaling.as_ref().map_or(1, |s| s.prices.len());
+        let zones = zones.max(2) as f64;
+        let spread = zones / (zones - 1.0);
+        Need {
+            least: (highest + SPARE).ceil() as u32,
+            stock: (highest * RESERVE * spread + SPARE).ceil() as u32,
+        }
     }
 
     fn targets(
@@ -167,19 +195,17 @@
         now: Instant,
         service: &Service,
         scaling: &Scaling,
-        wanted: Option<u32>,
+        need: Need,
         counts: &Counts,
     ) -> BTreeMap<(ZoneId, bool), u32> {
         let mut zones: Vec<_> = scaling.prices.clone();
         zones.sort_by(|a, b| a.1.total_cmp(&b.1));
         let mut targets = BTreeMap::new();
-        let Some(wanted) = wanted.filter(|_| !zones.is_empty()) else {
+        if zones.is_empty() {
             return targets;
-        };
-        let floor = scaling.min.saturating_mul(zones.len() as u32);
-        let wanted = wanted.max(floor);
+        }
         if scaling.reclaimable.is_some() {
-            let each = wanted.div_ceil(zones.len() as u32);
+            let each = need.stock.div_ceil(zones.len() as u32);
             for (zone, _) in &zones {
                 let place = (service.id.clone(), zone.clone());
                 let is_dry = self.dry.get(&place).is_some_and(|until| now < *until);
@@ -193,7 +219,7 @@
             }
         }
         // Only endpoints that are there replace others.
-        let mut missing = wanted.saturating_sub(counts.reclaimable());
+        let mut missing = need.least.saturating_sub(counts.reclaimable());
         let mut others: BTreeMap<&ZoneId, u32> = zones.iter().map(|(zone, _)| (zone, 0)).collect();
         for (zone, count) in &mut others {
             let held = counts.get(zone, true);
@@ -247,6 +273,10 @@
         self.0.get(&place).copied().unwrap_or(0)
     }
 
+    fn total(&self) -> u32 {
+        self.0.values().sum()
+    }
+
     fn reclaimable(&self) -> u32 {
         let kinds = self.0.iter().filter(|((_, reclaimable), _)| *reclaimable);
         kinds.map(|(_, count)| *count).sum()
