Keep a reserve for the loss of a zone from the start

Cause: a zone of reclaimable endpoints that was taken back in the first seconds left two thirds of what was there, in the middle of a burst.

--- a/lib/src/stock.rs
+++ b/lib/src/stock.rs
@@ -32,7 +32,7 @@
 
 /// Times the highest remembered need that is kept in stock, for a burst that is larger still; the
 /// loss of a zone comes on top.
-const RESERVE: f64 = 1.2;
+const RESERVE: f64 = 1.4;
 
 /// Endpoints beyond the reserve, for the one that fails next.
 const SPARE: f64 = 1.0;
@@ -173,17 +173,17 @@
             *first = present.max(*first);
         }
         let first = *first;
+        // With one zone taken back at once, the others still hold what is needed.
+        let zones = service.scaling.as_ref().map_or(1, |s| s.prices.len());
+        let zones = zones.max(2) as f64;
+        let spread = zones / (zones - 1.0);
         let age = self.started.map(|at| now.saturating_duration_since(at));
         if age.is_none_or(|age| age < LEARNING) {
             return Need {
                 least: first,
-                stock: first,
+                stock: (f64::from(first) * spread).ceil() as u32,
             };
         }
-        // With one zone taken back at once, the others still hold what is needed.
-        let zones = service.scaling.as_ref().map_or(1, |s| s.prices.len());
-        let zones = zones.max(2) as f64;
-        let spread = zones / (zones - 1.0);
         Need {
             least: (highest + SPARE).ceil() as u32,
             stock: (highest * RESERVE * spread + SPARE).ceil() as u32,
