Leave engines time between long prompts

Cause: tide briefings ran for ten seconds and more on engines that read long prompts all the time, since each of their tokens takes a whole chunk's time.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -48,8 +48,9 @@
 /// requests dominate.
 const OBSERVED_TOKENS: u32 = 2_000;
 
-/// Delay in milliseconds that a full endpoint adds to a request, in proportion to its use.
-const FULL_DELAY: f64 = 60.0;
+/// Delay in milliseconds that a full endpoint adds to a request; it grows with the square of the use,
+/// since an engine with many requests is mostly one that reads all the time.
+const FULL_DELAY: f64 = 400.0;
 
 /// Delay in milliseconds of each request that waits for a slot.
 const WAITING_DELAY: f64 = 25.0;
@@ -103,8 +104,9 @@
 /// the other requests of the engine as much.
 const AGAIN_WEIGHT: f64 = 2.0;
 
-/// Use by long prompts up to which another engine is not needed for them.
-const READER_USE: f64 = 0.6;
+/// Use by long prompts up to which another engine is not needed for them. While an engine reads, each
+/// token of its other requests takes a whole chunk's time, so half of the time must be left for them.
+const READER_USE: f64 = 0.35;
 
 /// Age from which a stated load says nothing.
 const STALE: Duration = Duration::from_secs(2);
@@ -667,7 +669,8 @@
         let (running, waiting) = self.busy(now);
         let tokens = self.unread() as f64 + f64::from(unread);
         let use_share = running / f64::from(self.listed.slots.max(1));
-        let mut delay = tokens / rate + FULL_DELAY * use_share + WAITING_DELAY * waiting;
+        let mut delay =
+            tokens / rate + FULL_DELAY * use_share * use_share + WAITING_DELAY * waiting;
         if self.listed.zone != *zone {
             delay += ZONE_DELAY;
         }
--- a/lib/src/stock.rs
+++ b/lib/src/stock.rs
@@ -22,7 +22,7 @@
 use crate::work::Work;
 
 /// Use of an engine by long prompts at which their callers still wait little.
-const LONG_USE: f64 = 0.55;
+const LONG_USE: f64 = 0.45;
 
 /// Use of an engine by short prompts at which no caller notices the others.
 const SHORT_USE: f64 = 0.35;
