Order elsewhere what a zone lacks, take requests from silent engines

Cause: after one zone was taken back, the next one took two thirds of the stock with it; a request whose answer was lost waited for its engine until the caller left, although it could be repeated.

--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -69,6 +69,12 @@
 /// Least time for which an endpoint is asked; less would end in doubt rather than in an answer.
 const LEAST_OFFER: Duration = Duration::from_millis(30);
 
+/// Times the usual delay after which a silent endpoint is given up.
+const SILENCE_FACTOR: u32 = 3;
+
+/// Least silence after which an endpoint is given up; callers are known to leave after 2 s.
+const LEAST_SILENCE: Duration = Duration::from_millis(1_200);
+
 /// Patience of a caller that states none and whose route allows longer.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(60);
 
@@ -668,8 +674,10 @@
             sent: self.now(),
             ended: false,
         };
-        let result = match timeout(left, self.exchange(&mut flight, last)).await {
+        let patience = self.silence_limit(&flight.choice).min(left);
+        let result = match timeout(patience, self.exchange(&mut flight, last)).await {
             Ok(result) => result,
+            Err(_) if patience < left => Err(Failure::Silent(CallEnd::Broken)),
             Err(_) => Err(Failure::Late),
         };
         let end = match &result {
@@ -694,6 +702,19 @@
         }))
     }
 
+    /// Returns how long an endpoint may be silent before another one is asked instead.
+    ///
+    /// Only a request that may be repeated, at endpoints that it has not been to, is taken away; any
+    /// other one waits as long as its caller does.
+    fn silence_limit(&self, choice: &Choice) -> Duration {
+        let is_last = self.attempts + 1 >= self.route.attempts;
+        if is_last || !self.route.repeat.is_repeatable() {
+            return Duration::MAX;
+        }
+        let usual = choice.expected.max(self.route.objective);
+        (usual * SILENCE_FACTOR).max(LEAST_SILENCE)
+    }
+
     fn log_attempt(&self, flight: &Flight, end: Option<CallEnd>) {
         let took = self.now().saturating_duration_since(flight.sent);
         self.forwarder.settings.metrics.first(&self.service, took);
@@ -935,8 +956,13 @@
                     return RelayEnd::Left;
                 }
             }
+            let left = self.left();
+            let limit = match resumable {
+                true => self.silence_limit(&started.flight.choice).min(left),
+                false => left,
+            };
             let next = tokio::select! {
-                next = timeout(self.left(), started.answer.next()) => next,
+                next = timeout(limit, started.answer.next()) => next,
                 () = sender.closed() => return RelayEnd::Left,
             };
             piece = match next {
@@ -944,6 +970,7 @@
                 Ok(Ok(None)) if resumable && cutter.is_partial() => return RelayEnd::Broken,
                 Ok(Ok(None)) => return RelayEnd::Whole,
                 Ok(Err(_)) => return RelayEnd::Broken,
+                Err(_) if limit < left => return RelayEnd::Broken,
                 Err(_) => return RelayEnd::Late,
             };
         }
--- a/lib/src/stock.rs
+++ b/lib/src/stock.rs
@@ -206,6 +206,17 @@
         }
         if scaling.reclaimable.is_some() {
             let each = need.stock.div_ceil(zones.len() as u32);
+            // What a zone lacks is ordered in those that have their part, so that the next zone
+            // that is lost finds the others complete again.
+            let complete = zones
+                .iter()
+                .filter(|(zone, _)| counts.get(zone, true) >= each);
+            let complete = complete.count() as u32;
+            let lacking = need.stock.saturating_sub(counts.reclaimable());
+            let more = match complete {
+                0 => 0,
+                _ => lacking.div_ceil(complete),
+            };
             for (zone, _) in &zones {
                 let place = (service.id.clone(), zone.clone());
                 let is_dry = self.dry.get(&place).is_some_and(|until| now < *until);
@@ -213,6 +224,9 @@
                 let room = scaling.max.saturating_sub(counts.get(zone, false));
                 let count = match is_dry {
                     true => counts.get(zone, true),
+                    false if counts.get(zone, true) >= each => {
+                        (each + more).clamp(scaling.min, scaling.max).min(room)
+                    }
                     false => each.clamp(scaling.min, scaling.max).min(room),
                 };
                 targets.insert((zone.clone(), true), count);
--- a/lib/tests/test_stock.rs
+++ b/lib/tests/test_stock.rs
@@ -195,6 +195,29 @@
     expect_that!(f.total(), ge(6));
 }
 
+/// Two zones are taken back one after the other: what the first one lacks is ordered elsewhere before
+/// the second goes.
+#[gtest]
+fn plan_lost_zones_in_turn() {
+    let mut f = Fixture::new(Some(0.2));
+    f.run(20, 60_000.0, 10_000.0);
+    let place = |zone: &str| (zone.to_owned(), true);
+    let before = f.held[&place("y")];
+    f.held.insert(place("x"), 0);
+    f.stock.refused(
+        f.now,
+        &EndpointOrder {
+            service: "llm".into(),
+            zone: "x".into(),
+            count: before,
+            reclaimable: true,
+        },
+    );
+    f.step(60_000.0, 10_000.0);
+    expect_that!(f.held[&place("y")], gt(before));
+    expect_that!(f.held[&place("z")], gt(before));
+}
+
 /// The list fills one by one at the first start: nothing is given back because it was short.
 #[gtest]
 fn plan_list_that_fills() {
