--- a/lib/tests/test_raft_member.rs
+++ b/lib/tests/test_raft_member.rs
@@ -58,6 +58,26 @@
     expect_that!(plan(slow, successor), some(eq(&promote)));
 }
 
+/// Guards against voters that are gone for good and weigh on the majority, and against a group that
+/// shrinks below the wanted number because some are away.
+#[gtest]
+fn retire_only_with_enough_voters() {
+    let policy = ReplacementPolicy::default();
+    let voter = |id, silent| health(id, id, true, silent, 0);
+    let working = [voter(1, 0), voter(2, 50), voter(3, 50)];
+    let with = |others: &[MemberHealth]| policy.retire(&[&working[..], others].concat());
+    let remove = MemberChange::Remove(MemberId(4));
+    expect_that!(with(&[voter(4, 20_000)]), some(eq(&remove)));
+    expect_that!(
+        with(&[voter(4, 20_000), voter(5, 20_000)]),
+        some(eq(&remove))
+    );
+    expect_that!(with(&[voter(4, 3_000)]), none());
+    expect_that!(with(&[]), none());
+    let few = [voter(1, 0), voter(2, 50), voter(3, 20_000)];
+    expect_that!(policy.retire(&few), none());
+}
+
 /// Most members work, a few are slow or have failed.
 fn silence() -> impl Strategy<Value = u64> {
     prop_oneof![6 => 0..700_u64, 1 => 900..9000_u64, 3 => 10_000..20_000_u64]
--- /dev/null
+++ b/lib/tests/test_seeds.rs
@@ -0,0 +1,225 @@
+//! Tests of groups whose members know only some addresses to start from.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use fulmarford_lib::clock::SystemClock;
+use fulmarford_lib::command::Command;
+use fulmarford_lib::command::Reply;
+use fulmarford_lib::command::UsageTerms;
+use fulmarford_lib::control::Control;
+use fulmarford_lib::control_core::PeerAddress;
+use fulmarford_lib::control_thread;
+use fulmarford_lib::control_thread::Config;
+use fulmarford_lib::control_thread::ControlThread;
+use fulmarford_lib::peer::Secrets;
+use fulmarford_lib::rules::Document;
+use fulmarford_lib::simple_storage::SimpleStorage;
+use fulmarford_lib::storage::LogStore;
+use fulmarford_testutils::ports;
+use googletest::prelude::*;
+
+const LIMIT: Duration = Duration::from_secs(20);
+const CALL: Duration = Duration::from_secs(2);
+
+struct Member {
+    address: SocketAddr,
+    store: Option<SimpleStorage>,
+    thread: Option<ControlThread>,
+}
+
+struct Group {
+    members: Vec<Member>,
+    seeds: usize,
+}
+
+impl Group {
+    /// Starts voters, of which the first are the seeds, and one instance that holds no data.
+    fn start(voters: usize, seeds: usize) -> Self {
+        let member = |store| Member {
+            address: ports::free_address(),
+            store,
+            thread: None,
+        };
+        let mut members: Vec<_> = (0..voters)
+            .map(|_| member(Some(SimpleStorage::default())))
+            .collect();
+        members.push(member(None));
+        let mut group = Self { members, seeds };
+        for index in 0..=voters {
+            group.launch(index, &format!("i{index}"), true);
+        }
+        group
+    }
+
+    fn launch(&mut self, index: usize, name: &str, bootstrap: bool) {
+        let seeds = self.members[..self.seeds].iter().map(|seed| PeerAddress {
+            name: format!("seed {}", seed.address).into(),
+            address: seed.address,
+        });
+        let seeds = seeds.collect();
+        let member = &mut self.members[index];
+        let store = member.store.clone();
+        let config = Config {
+            instance: name.into(),
+            listener: control_thread::listen(member.address).expect("the port is free"),
+            address: member.address,
+            peers: seeds,
+            discover: true,
+            terms: UsageTerms::default(),
+            store: store.map(|store| -> Box<dyn LogStore + Send> { Box::new(store) }),
+            bootstrap,
+            rules: Vec::new(),
+            secrets: Secrets::parse("secret-of-the-test-group").expect("valid"),
+            secret_file: None,
+            clock: Arc::new(SystemClock),
+        };
+        member.thread = Some(ControlThread::start(config).expect("the thread starts"));
+    }
+
+    fn halt(&mut self, index: usize) {
+        if let Some(thread) = self.members[index].thread.take() {
+            thread.halt();
+        }
+    }
+
+    /// Adds an instance with an empty disk at a new address.
+    fn add(&mut self, name: &str) -> usize {
+        self.members.push(Member {
+            address: ports::free_address(),
+            store: Some(SimpleStorage::default()),
+            thread: None,
+        });
+        let index = self.members.len() - 1;
+        self.launch(index, name, false);
+        index
+    }
+
+    fn submit(&self, index: usize, command: Command) -> Option<Reply> {
+        let control = self.members[index].thread.as_ref()?.control();
+        control.submit(command, CALL).ok()
+    }
+
+    fn replace(&self, index: usize, revision: u64) {
+        let document = Document {
+            revision,
+            text: format!("revision {revision}").into(),
+        };
+        let command = Command::ReplaceDocument(document);
+        wait(|| {
+            matches!(
+                self.submit(index, command.clone()),
+                Some(Reply::Applied { .. })
+            )
+        });
+    }
+
+    fn read(&self, index: usize) -> Option<u64> {
+        match self.submit(index, Command::ReadDocument)? {
+            Reply::Document(document) => Some(document.map_or(0, |d| d.revision)),
+            _ => None,
+        }
+    }
+
+    fn voters(&self, index: usize) -> usize {
+        let Some(thread) = &self.members[index].thread else {
+            return 0;
+        };
+        let status = thread.control().status(CALL);
+        status.members.iter().filter(|member| member.voting).count()
+    }
+
+    fn await_voters(&self, count: usize) {
+        wait(|| (0..self.members.len()).any(|index| self.voters(index) == count));
+    }
+}
+
+fn wait(mut done: impl FnMut() -> bool) {
+    let end = Instant::now() + LIMIT;
+    while !done() {
+        assert!(Instant::now() < end, "not done within {LIMIT:?}");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Voters that no seed names are learned from the group and take part in it.
+#[gtest]
+fn seeds_all_voters_join() {
+    let group = Group::start(5, 3);
+    group.await_voters(5);
+    group.replace(5, 7);
+    for index in 0..=5 {
+        expect_that!(group.read(index), some(eq(7)));
+    }
+}
+
+/// The seeds are gone, one after the other; the rest keeps what was acknowledged.
+#[gtest]
+fn seeds_gone_for_good() {
+    let mut group = Group::start(5, 2);
+    group.await_voters(5);
+    group.replace(5, 3);
+    group.halt(0);
+    wait(|| group.read(5) == Some(3));
+    group.halt(1);
+    wait(|| group.read(5) == Some(3));
+    group.replace(4, 4);
+    expect_that!(group.read(5), some(eq(4)));
+}
+
+/// A voter comes back at its old address with an empty disk, right after an acknowledgement.
+#[gtest]
+fn seeds_lost_disk_at_old_address() {
+    let mut group = Group::start(5, 3);
+    group.await_voters(5);
+    group.replace(5, 3);
+    group.halt(0);
+    group.members[0].store = Some(SimpleStorage::default());
+    group.launch(0, "i0", false);
+    wait(|| group.read(0) == Some(3));
+    group.await_voters(5);
+    // The others lose their power at once, which keeps their disks.
+    for index in 1..5 {
+        group.halt(index);
+    }
+    for index in 1..5 {
+        group.launch(index, &format!("i{index}"), false);
+    }
+    wait(|| group.read(5) == Some(3));
+}
+
+/// A voter is gone for good; an empty instance at another address takes its place.
+#[gtest]
+fn seeds_replaced_at_new_address() {
+    let mut group = Group::start(3, 3);
+    group.await_voters(3);
+    group.replace(3, 2);
+    group.halt(2);
+    let new = group.add("j");
+    wait(|| group.read(new) == Some(2));
+    // The new one is promoted, then the silent one removed.
+    group.await_voters(4);
+    wait(|| group.voters(new) == 3);
+    group.replace(new, 3);
+    expect_that!(group.read(3), some(eq(3)));
+}
+
+/// An empty instance that is not told to found a group never does, even if it is a seed.
+#[gtest]
+fn seeds_no_group_without_leave() {
+    let mut group = Group {
+        members: Vec::new(),
+        seeds: 1,
+    };
+    group.members.push(Member {
+        address: ports::free_address(),
+        store: Some(SimpleStorage::default()),
+        thread: None,
+    });
+    group.launch(0, "i0", false);
+    thread::sleep(Duration::from_secs(2));
+    expect_that!(group.read(0), none());
+}
--- a/lib/tests/test_state.rs
+++ b/lib/tests/test_state.rs
@@ -109,6 +109,13 @@
 }
 
 /// A state machine with the index and the time of the next command.
+fn document(revision: u64, text: u8) -> Command {
+    Command::ReplaceDocument(rules::Document {
+        revision,
+        text: text.to_string().into(),
+    })
+}
+
 struct Fixture {
     state: State,
     index: u64,
@@ -135,6 +142,73 @@
     }
 }
 
+/// Guards against an older document, or another one under the held revision, taking effect, and
+/// against a resend without an acknowledgement.
+#[gtest]
+fn replace_document_highest_revision() {
+    let mut f = Fixture::new();
+    let held = |f: &mut Fixture| match f.run(Command::ReadDocument) {
+        Reply::Document(held) => held.map(|d| (d.revision, d.text.to_string())),
+        other => panic!("unexpected reply {other:?}"),
+    };
+    expect_that!(held(&mut f), none());
+    let first = f.run(document(5, 1));
+    expect_that!(
+        first,
+        eq(&Reply::Applied {
+            version: Version(1)
+        })
+    );
+    for (revision, text) in [(5, 1), (5, 2), (4, 3)] {
+        expect_that!(f.run(document(revision, text)), eq(&first));
+    }
+    expect_that!(held(&mut f), some(eq(&(5, "1".to_owned()))));
+    f.restart();
+    f.run(document(9, 4));
+    f.run(change("a", 2, vec![set("workspace w # t")]));
+    expect_that!(held(&mut f), some(eq(&(9, "4".to_owned()))));
+    // Deltas reach back to the last document only, because documents are large.
+    expect_that!(f.state.changes_since(Version(0)), none());
+    expect_that!(
+        f.state.changes_since(Version(2)).map(|c| c.len()),
+        some(eq(1))
+    );
+}
+
+/// Guards against windows of another length than agreed, and against counts that leave an open
+/// window when the terms change.
+#[gtest]
+fn usage_terms_short_windows() {
+    let mut f = Fixture::new();
+    let terms = UsageTerms {
+        length: 5,
+        grace: 4,
+    };
+    f.run(Command::SetUsageTerms(UsageTerms {
+        length: 0,
+        grace: 1,
+    }));
+    expect_that!(f.state.usage().terms(), eq(UsageTerms::default()));
+    f.run(Command::SetUsageTerms(terms));
+    f.run(hold(LeaseKind::Usage, 1, Some(0)));
+    let start = START_MS / 1_000;
+    f.at += 12_000;
+    for n in 0..6 {
+        f.run(usage(1, n + 1, start + 2 * n, 1));
+    }
+    f.at += 5_000;
+    let window = Window(start);
+    let Reply::Frozen { bytes } = f.run(Command::FreezeWindow { window, fence: 1 }) else {
+        panic!("the window is due");
+    };
+    let report: WindowReport = serde_json::from_slice(&bytes).expect("JSON");
+    let total: u64 = report.rows.iter().map(|row| row.counts.requests).sum();
+    // The reports of the seconds 0, 2 and 4.
+    expect_that!(total, eq(3));
+    f.restart();
+    expect_that!(f.state.usage().terms(), eq(terms));
+}
+
 /// Guards against two winners among changes of the same version, and against another answer to a
 /// resend after a snapshot.
 #[gtest]
@@ -509,6 +583,8 @@
                 id, fence, zone: zone.into(), count, reclaimable: count == 0,
                 reason: String::new(),
             })),
+        2 => (0..5_u64, 0..2_u8).prop_map(|(revision, text)| document(revision, text)),
+        1 => Just(Command::ReadDocument),
         2 => (1..6_u64, any::<bool>()).prop_map(|(order, accepted)| Command::CloseOrder {
             order,
             state: if accepted { OrderState::Accepted } else { OrderState::Refused },
