--- a/lib/src/explain.rs
+++ b/lib/src/explain.rs
@@ -1,7 +1,7 @@
 //! Explanation of one request from decision logs.
 //!
 //! Logs of several instances may be mixed; lines of the request are ordered by time, so that a
-//! request that was tried on two endpoints reads from top to bottom (`docs/operations.md`).
+//! request that was tried on two endpoints reads from top to bottom (`docs/OPERATIONS.md`).
 
 use std::io::BufRead;
 
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -149,6 +149,8 @@
     pub own: u32,
     /// Expected time to the first byte.
     pub expected: Duration,
+    /// Age of the list that it was chosen from.
+    pub age: Duration,
 }
 
 /// Why a request has no endpoint.
@@ -184,6 +186,21 @@
     Cancelled,
 }
 
+impl CallEnd {
+    /// Returns the name that logs show.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Served => "served",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::Broken => "broken",
+            Self::Unreachable => "unreachable",
+            Self::Replaced => "replaced",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// A call at an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Ticket(u64);
@@ -258,6 +275,8 @@
 #[derive(Debug)]
 pub struct Fleet {
     zone: ZoneId,
+    /// When the list arrived.
+    installed: Option<Instant>,
     endpoints: BTreeMap<EndpointId, Endpoint>,
     services: HashMap<ServiceId, Vec<EndpointId>>,
     memories: HashMap<ServiceId, u64>,
@@ -290,6 +309,7 @@
     pub fn new(zone: ZoneId) -> Self {
         Self {
             zone,
+            installed: None,
             endpoints: BTreeMap::new(),
             services: HashMap::new(),
             memories: HashMap::new(),
@@ -308,6 +328,7 @@
 
     /// Takes over the platform's list; returns what changed, for the log.
     pub fn install(&mut self, now: Instant, list: Vec<ListedEndpoint>) -> Vec<ListChange> {
+        self.installed = Some(now);
         let mut changes = Vec::new();
         let mut services: HashMap<ServiceId, Vec<EndpointId>> = HashMap::new();
         for listed in list {
@@ -405,6 +426,9 @@
             unread,
             own: want.prompt.saturating_sub(shared(want.parts)),
             expected,
+            age: self
+                .installed
+                .map_or(Duration::ZERO, |at| now.saturating_duration_since(at)),
         })
     }
 
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -730,7 +730,8 @@
             expected_ms = flight.choice.expected.as_millis() as u64,
             took_ms = took.as_millis() as u64,
             waited_ms = self.now().saturating_duration_since(self.arrived).as_millis() as u64,
-            outcome = ?end,
+            list_age_ms = flight.choice.age.as_millis() as u64,
+            outcome = end.map_or("started", CallEnd::name),
             "attempt"
         );
     }
@@ -769,11 +770,11 @@
         let mut answer = match self.client.send(call).await {
             Ok(answer) => answer,
             Err(CallError::Unreachable(error)) => {
-                tracing::debug!(%error, "endpoint unreachable");
+                tracing::info!(request = self.ask.id, %error, "endpoint unreachable");
                 return Err(Failure::Silent(CallEnd::Unreachable));
             }
             Err(error) => {
-                tracing::debug!(%error, "call failed");
+                tracing::info!(request = self.ask.id, %error, "call failed");
                 return Err(Failure::Silent(CallEnd::Broken));
             }
         };
@@ -782,7 +783,7 @@
         let first = match answer.next().await {
             Ok(first) => first,
             Err(error) => {
-                tracing::debug!(%error, "answer broke off");
+                tracing::info!(request = self.ask.id, %error, "answer broke off");
                 return Err(Failure::Silent(CallEnd::Broken));
             }
         };
