--- a/lib/src/control_core.rs
+++ b/lib/src/control_core.rs
@@ -73,6 +73,10 @@
 /// Time for which an upstream that did not answer is not asked again if there is another one.
 const AVOID: Duration = Duration::from_secs(2);
 
+/// The same for an upstream that others name as the leader: a voter that has just restarted is
+/// often not connected yet when it is elected, and nobody else answers polls then.
+const AVOID_LEADER: Duration = Duration::from_millis(250);
+
 const RETRY_MIN: Duration = Duration::from_millis(15);
 const RETRY_MAX: Duration = Duration::from_millis(45);
 
@@ -232,11 +236,13 @@
     pub(crate) fn next_upstream(&self, failed: Option<SocketAddr>) -> Option<SocketAddr> {
         let now = Instant::now();
         let avoided = self.avoided.borrow();
-        let usable = |address: &SocketAddr| {
-            *address != self.address && avoided.get(address).is_none_or(|until| now >= *until)
+        let usable_after = |address: &SocketAddr, pause: Duration| {
+            let last = avoided.get(address);
+            *address != self.address && last.is_none_or(|at| now >= *at + pause)
         };
+        let usable = |address: &SocketAddr| usable_after(address, AVOID);
         let leader = self.leader().and_then(|leader| self.resolve(&leader));
-        let leader = leader.filter(usable);
+        let leader = leader.filter(|address| usable_after(address, AVOID_LEADER));
         if leader.is_some() && leader != failed {
             return leader;
         }
@@ -253,8 +259,7 @@
 
     /// Notes that an upstream did not answer.
     pub(crate) fn avoid(&self, address: SocketAddr) {
-        let until = Instant::now() + AVOID;
-        self.avoided.borrow_mut().insert(address, until);
+        self.avoided.borrow_mut().insert(address, Instant::now());
         let hint = self.hint.borrow().clone();
         if hint.and_then(|hint| self.resolve(&hint)) == Some(address) {
             self.set_hint(None);
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -14,7 +14,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -25,6 +24,7 @@
 use crate::ids::EndpointId;
 use crate::ids::ServiceId;
 use crate::ids::ZoneId;
+use crate::prompt_cache::PromptCache;
 use crate::work::LONG_PROMPT;
 use crate::work::Rate;
 use crate::work::Work;
@@ -230,45 +230,7 @@
     closed: Vec<Instant>,
     /// Cannot be used until the list names it again.
     gone: bool,
-    cache: Cache,
-}
-
-/// Prompt parts that an engine has read, the least recently used first.
-#[derive(Debug, Default)]
-struct Cache {
-    held: HashMap<u64, u32>,
-    order: VecDeque<u64>,
-    tokens: u64,
-}
-
-impl Cache {
-    fn cached(&self, parts: &[PromptPart]) -> u32 {
-        parts
-            .iter()
-            .take_while(|part| self.held.contains_key(&part.id))
-            .map(|part| part.tokens)
-            .sum()
-    }
-
-    fn add(&mut self, parts: &[PromptPart], limit: u64) {
-        for part in parts {
-            if self.held.insert(part.id, part.tokens).is_none() {
-                self.tokens += u64::from(part.tokens);
-            }
-            self.order.push_back(part.id);
-        }
-        // An identity stands in the order once for each use; only its newest place counts.
-        while self.tokens > limit || self.order.len() > 4 * self.held.len() + 64 {
-            let Some(oldest) = self.order.pop_front() else {
-                break;
-            };
-            if !self.order.contains(&oldest)
-                && let Some(tokens) = self.held.remove(&oldest)
-            {
-                self.tokens -= u64::from(tokens);
-            }
-        }
-    }
+    cache: PromptCache,
 }
 
 /// What this instance knows about all endpoints.
@@ -593,7 +555,7 @@
             CallEnd::Failed => endpoint.fail(now, 0.5),
             CallEnd::Broken | CallEnd::Unreachable => {
                 // A crashed engine holds nothing any more.
-                endpoint.cache = Cache::default();
+                endpoint.cache = PromptCache::default();
                 endpoint.fail(now, 1.0);
             }
         }
@@ -639,7 +601,7 @@
             failed: now,
             closed: Vec::new(),
             gone: false,
-            cache: Cache::default(),
+            cache: PromptCache::default(),
         }
     }
 
