Use one thread type for exclusive calls, repeat orders by the time to serve

Found by reading the change: the call threads of duties and site_duties stood twice, accessors of the fleet were unused, and the time that a new endpoint takes to serve was read and not used.

--- a/lib/src/duties.rs
+++ b/lib/src/duties.rs
@@ -19,9 +19,9 @@
 use crossbeam::channel::RecvTimeoutError;
 use crossbeam::channel::Sender;
 use crossbeam::channel::bounded;
-use crossbeam::channel::unbounded;
 use serde::Serialize;
 
+use crate::call_thread::CallThread;
 use crate::clock::Clock;
 use crate::cluster_control::ClusterControl;
 use crate::command::Command;
@@ -88,8 +88,8 @@
         let (orders, reports) = (client(), client());
         let runner = Runner {
             drivers: Arc::new(Mutex::new(drivers)),
-            orders: Caller::start("orders", move |call| orders::run(&orders, call))?,
-            reports: Caller::start("usage-reports", move |r| reporter::run(&reports, r))?,
+            orders: CallThread::start("orders", move |call| orders::run(&orders, call))?,
+            reports: CallThread::start("usage-reports", move |r| reporter::run(&reports, r))?,
             pending: None,
             leases: Vec::new(),
             releases: Vec::new(),
@@ -114,28 +114,6 @@
     }
 }
 
-/// A thread that makes calls one after the other.
-struct Caller<T, R> {
-    calls: Sender<T>,
-    results: Receiver<(T, R)>,
-}
-
-impl<T: Send + 'static, R: Send + 'static> Caller<T, R> {
-    fn start(name: &str, run: impl Fn(&T) -> R + Send + 'static) -> io::Result<Self> {
-        let (calls, queue) = unbounded::<T>();
-        let (done, results) = unbounded();
-        thread::Builder::new()
-            .name(name.to_owned())
-            .spawn(move || {
-                for call in queue {
-                    let result = run(&call);
-                    let _ = done.send((call, result));
-                }
-            })?;
-        Ok(Self { calls, results })
-    }
-}
-
 struct Drivers {
     orders: OrderDriver,
     reporter: Reporter,
@@ -182,8 +160,8 @@
 struct Runner {
     config: Config,
     drivers: Arc<Mutex<Drivers>>,
-    orders: Caller<orders::Call, orders::CallResult>,
-    reports: Caller<reporter::Report, Result<(), PlatformError>>,
+    orders: CallThread<orders::Call, orders::CallResult>,
+    reports: CallThread<reporter::Report, Result<(), PlatformError>>,
     /// A step that the control thread has not taken yet.
     pending: Option<Receiver<Actions>>,
     leases: Vec<Waiting>,
@@ -242,10 +220,10 @@
     fn collect(&mut self) {
         let mut drivers = self.drivers.lock().expect("drivers lock poisoned");
         let now = self.config.clock.now();
-        for (call, result) in self.orders.results.try_iter() {
+        for (call, result) in self.orders.results() {
             drivers.orders.called(now, &call, &result);
         }
-        for (report, result) in self.reports.results.try_iter() {
+        for (report, result) in self.reports.results() {
             drivers.reporter.reported(now, &report, &result);
         }
         self.leases
@@ -266,7 +244,7 @@
                     self.ask(LeaseKind::Orders, asked, command);
                 }
                 orders::Action::Submit(command) => self.submit(command),
-                orders::Action::Call(call) => drop(self.orders.calls.send(call)),
+                orders::Action::Call(call) => self.orders.send(call),
                 orders::Action::Log(record) => self.log(&record),
             }
         }
@@ -276,7 +254,7 @@
                     self.ask(LeaseKind::Usage, asked, command);
                 }
                 reporter::Action::Submit(command) => self.submit(command),
-                reporter::Action::Report(report) => drop(self.reports.calls.send(report)),
+                reporter::Action::Report(report) => self.reports.send(report),
                 reporter::Action::Log(record) => self.log(&record),
             }
         }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -330,16 +330,6 @@
         changes
     }
 
-    /// Returns how many endpoints of a service take requests.
-    pub fn usable(&self, service: &ServiceId) -> usize {
-        self.of(service).filter(|e| e.is_usable()).count()
-    }
-
-    /// Returns the endpoints on the list.
-    pub fn listed(&self) -> impl Iterator<Item = &ListedEndpoint> {
-        self.endpoints.values().map(|endpoint| &endpoint.listed)
-    }
-
     fn of(&self, service: &ServiceId) -> impl Iterator<Item = &Endpoint> {
         let ids = self.services.get(service).into_iter().flatten();
         ids.filter_map(|id| self.endpoints.get(id))
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -336,7 +336,8 @@
         if is_last || !self.route.repeat.is_repeatable() {
             return Duration::MAX;
         }
-        let usual = choice.expected.max(self.route.objective);
+        let gap = self.route.gap.unwrap_or_default();
+        let usual = choice.expected.max(self.route.objective).max(gap);
         (usual * SILENCE_FACTOR).max(LEAST_SILENCE)
     }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod at_most_once;
 mod attempt;
 pub mod balancer;
+mod call_thread;
 pub mod chart;
 pub mod clock;
 pub mod cluster_control;
--- a/lib/src/site_duties.rs
+++ b/lib/src/site_duties.rs
@@ -16,8 +16,8 @@
 use crossbeam::channel::RecvTimeoutError;
 use crossbeam::channel::Sender;
 use crossbeam::channel::bounded;
-use crossbeam::channel::unbounded;
 
+use crate::call_thread::CallThread;
 use crate::clock::Clock;
 use crate::cluster_control::ClusterControl;
 use crate::command::Command;
@@ -88,7 +88,7 @@
                 dialect: config.dialect.clone(),
                 instance: me.instance.clone(),
             };
-            CallThread::start(name, caller)
+            CallThread::start(name, move |call| caller.send(call))
         };
         let runner = Runner {
             reporter: Arc::new(Mutex::new(Reporter::new(me.clone()))),
@@ -128,36 +128,6 @@
     Order(EndpointOrder, Guard),
 }
 
-/// A thread that makes calls one after the other.
-struct CallThread {
-    calls: Sender<Exclusive>,
-    results: Receiver<(Exclusive, Result<(), PlatformError>)>,
-}
-
-impl CallThread {
-    fn start(name: &str, caller: Caller) -> std::io::Result<Self> {
-        let (calls, queue) = unbounded::<Exclusive>();
-        let (done, results) = unbounded();
-        thread::Builder::new()
-            .name(name.to_owned())
-            .spawn(move || {
-                for call in queue {
-                    let result = caller.send(&call);
-                    if done.send((call, result)).is_err() {
-                        return;
-                    }
-                }
-            })?;
-        Ok(Self { calls, results })
-    }
-
-    fn send(&self, call: Exclusive) {
-        if self.calls.send(call).is_err() {
-            tracing::error!("a thread of exclusive calls has ended");
-        }
-    }
-}
-
 /// Makes exclusive calls.
 struct Caller {
     platform: Platform,
@@ -210,14 +180,16 @@
     table: Option<(u64, Arc<RouteTable>)>,
 }
 
+type ExclusiveCalls = CallThread<Exclusive, Result<(), PlatformError>>;
+
 type Answer = Receiver<Result<Reply, SubmitError>>;
 
 struct Runner {
     config: Config,
     reporter: Arc<Mutex<Reporter>>,
-    reports: CallThread,
+    reports: ExclusiveCalls,
     buyer: Buyer,
-    orders: CallThread,
+    orders: ExclusiveCalls,
     leases: Vec<(LeaseKind, Instant, Answer)>,
     releases: Vec<Answer>,
 }
@@ -358,7 +330,7 @@
     }
 
     fn collect(&mut self) {
-        let orders: Vec<_> = self.orders.results.try_iter().collect();
+        let orders: Vec<_> = self.orders.results().collect();
         for (call, result) in orders {
             if let Exclusive::Order(order, _) = call {
                 self.ordered(&order, &result);
@@ -366,7 +338,7 @@
         }
         let mut reporter = self.reporter.lock().expect("reporter lock poisoned");
         let now = self.config.clock.now();
-        for (call, result) in self.reports.results.try_iter() {
+        for (call, result) in self.reports.results() {
             if let Exclusive::Report(report) = call {
                 reporter.reported(now, &report, &result);
             }
--- a/lib/src/stock.rs
+++ b/lib/src/stock.rs
@@ -49,9 +49,9 @@
 /// Time after which an availability zone without reclaimable endpoints is asked again.
 const DRY: Duration = Duration::from_secs(4);
 
-/// Time after which an order that shows no effect on the list is repeated; a late execution of an
-/// older order may have undone it.
-const REPEAT: Duration = Duration::from_secs(7);
+/// Time beyond that for a new endpoint to serve after which an order that shows no effect on the list
+/// is repeated; a late execution of an older order may have undone it.
+const REPEAT_MARGIN: Duration = Duration::from_secs(3);
 
 /// Numbers of endpoints of one service.
 #[derive(Clone, Copy, Debug)]
@@ -116,7 +116,10 @@
             let is_due = match self.sent.get(&place) {
                 None => present != count,
                 Some(sent) if sent.count != count => true,
-                Some(sent) => present != count && now.saturating_duration_since(sent.at) >= REPEAT,
+                Some(sent) => {
+                    present != count
+                        && now.saturating_duration_since(sent.at) >= scaling.boot + REPEAT_MARGIN
+                }
             };
             if is_due {
                 self.sent.insert(place, Sent { count, at: now });
