Copy shared prompt parts between engines

Change: a choice names the engine that is known, or by the rendezvous order is likely, to hold more of the prompt; the runner-up is named for the home itself, since it was the home before the winner came. The expected delay counts the copy instead of the reading.

--- a/lib/src/affinity.rs
+++ b/lib/src/affinity.rs
@@ -40,6 +40,11 @@
         .map(|(position, _)| position)
 }
 
+/// Sorts items by how they win for the key; without the first one, the second one would win.
+pub fn rank<T>(key: u64, items: &mut [T], hash: impl Fn(&T) -> u64) {
+    items.sort_unstable_by_key(|item| std::cmp::Reverse(mix(key, hash(item))));
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Holder {
     endpoint: usize,
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -78,6 +78,8 @@
     pub engine: bool,
     /// Last event that the caller has, for a stream that goes on.
     pub last: Option<&'a str>,
+    /// An engine that likely holds parts of the prompt which this one lacks.
+    pub source: Option<SocketAddr>,
 }
 
 /// Load that an endpoint states with an answer.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -14,6 +14,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -25,6 +26,7 @@
 use crate::ids::ServiceId;
 use crate::ids::ZoneId;
 use crate::prompt_cache::PromptCache;
+use crate::route_table::EngineKind;
 use crate::work::LONG_PROMPT;
 use crate::work::Rate;
 use crate::work::Work;
@@ -104,6 +106,10 @@
 /// the other requests of the engine as much.
 const AGAIN_WEIGHT: f64 = 2.0;
 
+/// Times the copying time of a shared part that copying it counts for: the link carries one copy after
+/// the other, and the copy takes memory from other prompts.
+const COPY_WEIGHT: f64 = 3.0;
+
 /// Use by long prompts up to which another engine is not needed for them. While an engine reads, each
 /// token of its other requests takes a whole chunk's time, so half of the time must be left for them.
 const READER_USE: f64 = 0.35;
@@ -147,6 +153,8 @@
     pub unread: u32,
     /// Prompt tokens that no other request shares, so that they are certainly read.
     pub own: u32,
+    /// Another engine that likely holds shared parts which this one lacks.
+    pub source: Option<SocketAddr>,
     /// Expected time to the first byte.
     pub expected: Duration,
     /// Age of the list that it was chosen from.
@@ -241,7 +249,7 @@
     installed: Option<Instant>,
     endpoints: BTreeMap<EndpointId, Endpoint>,
     services: HashMap<ServiceId, Vec<EndpointId>>,
-    memories: HashMap<ServiceId, u64>,
+    engines: HashMap<ServiceId, EngineKind>,
     rates: HashMap<ServiceId, f64>,
     flows: HashMap<ServiceId, Flows>,
     /// The most urgent request that was turned away lately, and when.
@@ -274,7 +282,7 @@
             installed: None,
             endpoints: BTreeMap::new(),
             services: HashMap::new(),
-            memories: HashMap::new(),
+            engines: HashMap::new(),
             rates: HashMap::new(),
             flows: HashMap::new(),
             turned: HashMap::new(),
@@ -283,9 +291,9 @@
         }
     }
 
-    /// Takes over how many tokens an engine of a service holds.
-    pub fn set_memory(&mut self, service: &ServiceId, tokens: u64) {
-        self.memories.insert(service.clone(), tokens);
+    /// Takes over what the engines of a service are.
+    pub fn set_engine(&mut self, service: &ServiceId, engine: EngineKind) {
+        self.engines.insert(service.clone(), engine);
     }
 
     /// Takes over the platform's list; returns what changed, for the log.
@@ -344,30 +352,36 @@
         let readers = self.readers(want, rate);
         let is_long = want.prompt >= LONG_PROMPT;
         let suits = |e: &Endpoint| readers.is_empty() || is_long == readers.contains(&e.hash);
-        let home = self.home(want, suits);
-        let mut best: Option<(f64, &Endpoint, u32)> = None;
+        let holders = self.holders(want, suits);
+        let mut best: Option<(f64, &Endpoint, u32, Option<SocketAddr>)> = None;
         for endpoint in self.of(want.service).filter(|e| e.is_usable()) {
             if want.excluded.contains(&endpoint.listed.id) {
                 continue;
             }
-            let mut cached = endpoint.cache.cached(want.parts);
-            if home == Some(endpoint.hash) {
+            let known = endpoint.cache.cached(want.parts);
+            let mut cached = known;
+            if holders.home == Some(endpoint.hash) {
                 // All instances send the part there, so it is likely held already.
-                let likely = f64::from(shared(want.parts)) * HOME_HELD;
-                cached = cached.max(likely as u32);
+                cached = cached.max(likely(want.parts));
             }
-            let unread = want.prompt.saturating_sub(cached);
+            let source = holders.source(endpoint, known.min(shared(want.parts)));
+            let copied = source.map_or(0, |source| source.tokens.saturating_sub(cached));
+            let unread = want.prompt.saturating_sub(cached + copied);
             let mut score = endpoint.delay(now, unread, rate, &self.zone);
-            let again = shared(want.parts).saturating_sub(cached);
+            let again = shared(want.parts).saturating_sub(cached + copied);
             score += f64::from(again) / rate * AGAIN_WEIGHT;
+            if copied > 0 {
+                score += f64::from(copied) / holders.rate * COPY_WEIGHT;
+            }
             if !suits(endpoint) {
                 score += if is_long { KEPT_DELAY } else { READER_DELAY };
             }
-            if best.is_none_or(|(least, _, _)| score < least) {
-                best = Some((score, endpoint, unread));
+            if best.is_none_or(|(least, ..)| score < least) {
+                let source = source.map(|source| source.address);
+                best = Some((score, endpoint, unread, source));
             }
         }
-        let (score, endpoint, unread) = best.ok_or(NoChoice::Nowhere)?;
+        let (score, endpoint, unread, source) = best.ok_or(NoChoice::Nowhere)?;
         let expected = Duration::from_secs_f64(score / 1_000.0);
         if expected > want.left && !endpoint.is_doubtful(now) {
             return Err(NoChoice::Late { expected });
@@ -377,6 +391,7 @@
             prompt: want.prompt,
             unread,
             own: want.prompt.saturating_sub(shared(want.parts)),
+            source,
             expected,
             age: self
                 .installed
@@ -443,16 +458,37 @@
         self.flows.iter().map(work).collect()
     }
 
-    /// Returns the endpoint, by its hash, where the shared part of a prompt belongs.
+    /// Returns where the shared parts of a prompt are taken to be.
     ///
-    /// Each instance sees a session too rarely to know from its own requests where it is held.
-    fn home(&self, want: &Want<'_>, suits: impl Fn(&Endpoint) -> bool) -> Option<u64> {
-        let count = want.parts.len().checked_sub(1)?;
-        let shared = want.parts[..count].last()?;
+    /// Each instance sees a session too rarely to know from its own requests where it is held, so the
+    /// endpoint that wins the hash is its home on all of them. The runner-up was the home before the
+    /// winner came, and likely still holds the parts.
+    fn holders(&self, want: &Want<'_>, suits: impl Fn(&Endpoint) -> bool) -> Holders {
+        let mut holders = Holders::default();
+        let shared_parts = &want.parts[..want.parts.len().saturating_sub(1)];
+        let Some(part) = shared_parts.last() else {
+            return holders;
+        };
         let usable = self.of(want.service).filter(|e| e.is_usable());
-        let hashes: Vec<u64> = usable.filter(|e| suits(e)).map(|e| e.hash).collect();
-        let place = affinity::rendezvous(shared.id, hashes.iter().copied())?;
-        hashes.get(place).copied()
+        let mut homes: Vec<&Endpoint> = usable.filter(|e| suits(e)).collect();
+        affinity::rank(part.id, &mut homes, |endpoint| endpoint.hash);
+        homes.truncate(2);
+        holders.home = homes.first().map(|endpoint| endpoint.hash);
+        let engine = self.engines.get(want.service);
+        let Some(rate) = engine.and_then(|engine| engine.copied) else {
+            return holders;
+        };
+        holders.rate = rate;
+        // An endpoint that leaves can still be copied from.
+        let others = self.of(want.service).filter(|e| !e.gone);
+        let mut sources: Vec<Source> = others
+            .map(|endpoint| Source::new(endpoint, endpoint.cache.cached(shared_parts)))
+            .filter(|source| source.tokens > 0)
+            .collect();
+        let guessed = homes.iter();
+        sources.extend(guessed.map(|endpoint| Source::new(endpoint, likely(want.parts))));
+        holders.sources = sources;
+        holders
     }
 
     /// Records a call that is about to be sent.
@@ -469,8 +505,9 @@
         };
         flow.add(now, f64::from(choice.unread));
         let ticket = Ticket(self.next);
-        let memory = self.memories.get(&choice.listed.service);
-        let limit = (memory.copied().unwrap_or(DEFAULT_MEMORY) as f64 * CACHE_SHARE) as u64;
+        let engine = self.engines.get(&choice.listed.service);
+        let memory = engine.map_or(DEFAULT_MEMORY, |engine| engine.memory);
+        let limit = (memory as f64 * CACHE_SHARE) as u64;
         if let Some(endpoint) = self.endpoints.get_mut(&choice.listed.id) {
             endpoint.own.push(OwnCall {
                 ticket,
@@ -574,6 +611,52 @@
     }
 }
 
+/// Where shared parts of a prompt are taken to be.
+#[derive(Debug, Default)]
+struct Holders {
+    /// The endpoint, by its hash, where they belong.
+    home: Option<u64>,
+    /// Tokens that are copied between engines in a millisecond.
+    rate: f64,
+    /// Endpoints to copy from: known ones first, then guessed ones.
+    sources: Vec<Source>,
+}
+
+/// An engine from which parts can be copied.
+#[derive(Clone, Copy, Debug)]
+struct Source {
+    hash: u64,
+    address: SocketAddr,
+    /// Tokens that it is taken to hold.
+    tokens: u32,
+}
+
+impl Source {
+    fn new(endpoint: &Endpoint, tokens: u32) -> Self {
+        Self {
+            hash: endpoint.hash,
+            address: endpoint.listed.address,
+            tokens,
+        }
+    }
+}
+
+impl Holders {
+    /// Returns the best source for an endpoint that is known to hold some tokens itself.
+    fn source(&self, endpoint: &Endpoint, held: u32) -> Option<&Source> {
+        let others = self.sources.iter().filter(|s| s.hash != endpoint.hash);
+        // The first of equal ones is a known one.
+        others
+            .filter(|s| s.tokens > held)
+            .reduce(|best, s| if s.tokens > best.tokens { s } else { best })
+    }
+}
+
+/// Returns the tokens that the home of a prompt's shared parts is taken to hold.
+fn likely(parts: &[PromptPart]) -> u32 {
+    (f64::from(shared(parts)) * HOME_HELD) as u32
+}
+
 /// Returns the tokens of the parts that other requests may share.
 fn shared(parts: &[PromptPart]) -> u32 {
     let count = parts.len().saturating_sub(1);
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -149,7 +149,7 @@
         let mut fleet = self.settings.fleet.lock().expect("fleet lock poisoned");
         for service in table.services() {
             if let Some(engine) = &service.engine {
-                fleet.set_memory(&service.id, engine.memory);
+                fleet.set_engine(&service.id, engine.clone());
             }
         }
     }
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -379,6 +379,7 @@
                 rank: self.rank,
                 engine: self.is_engine,
                 last,
+                source: flight.choice.source,
             },
         );
         let call = Call {
--- a/lib/src/route_table.rs
+++ b/lib/src/route_table.rs
@@ -103,6 +103,10 @@
     pub slots: u32,
     /// Tokens that its memory holds.
     pub memory: u64,
+    /// Tokens whose memory an engine copies from another one in a millisecond, if it can.
+    pub copied: Option<f64>,
+    /// Whether a run can go on at another engine from a copy of its memory.
+    pub moves: bool,
 }
 
 /// How many endpoints of a service may be ordered, and at what price.
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -1,5 +1,6 @@
 //! Tests of the choice of endpoints, each replaying the load pattern that a rule answers.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,14 +14,29 @@
 use fulmarford_lib::fleet::Want;
 use fulmarford_lib::ids::EndpointId;
 use fulmarford_lib::ids::ServiceId;
+use fulmarford_lib::route_table::EngineKind;
 use fulmarford_lib::work::Work;
 use googletest::prelude::*;
 
+/// Returns an address of its own for each name of one letter.
+fn address(name: &str) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], u16::from(name.as_bytes()[0])))
+}
+
+fn engine(copied: Option<f64>) -> EngineKind {
+    EngineKind {
+        slots: 64,
+        memory: 600_000,
+        copied,
+        moves: true,
+    }
+}
+
 fn listed(name: &str) -> ListedEndpoint {
     ListedEndpoint {
         id: name.into(),
         service: "llm".into(),
-        address: "127.0.0.1:9".parse().expect("an address"),
+        address: address(name),
         zone: "z".into(),
         slots: 64,
         leaving: false,
@@ -163,6 +179,80 @@
     expect_that!(second.unread, lt(first.unread));
 }
 
+/// A shared part at an engine that is busy: another engine copies it instead of reading it again.
+#[gtest]
+fn choose_copies_known_part() {
+    let mut f = Fixture::new(&["a", "b", "c"]);
+    f.fleet.set_engine(&f.service, engine(Some(400.0)));
+    let parts = [
+        PromptPart {
+            id: 7,
+            tokens: 5_000,
+        },
+        PromptPart { id: 8, tokens: 500 },
+    ];
+    let first = f.ask(5_500, &parts, &[]).expect("an endpoint");
+    let ticket = f.fleet.start(f.now, &first, &parts);
+    f.fleet.end(f.now, ticket, CallEnd::Served);
+    for _ in 0..3 {
+        let busy = first.clone();
+        let busy = Choice {
+            unread: 20_000,
+            ..busy
+        };
+        f.fleet.start(f.now, &busy, &[]);
+    }
+    let second = f.ask(5_500, &parts, &[]).expect("an endpoint");
+    expect_that!(name(&second), not(eq(name(&first))));
+    expect_that!(second.source, some(eq(first.listed.address)));
+    expect_that!(second.unread, eq(500));
+}
+
+/// Engines that cannot copy from each other, or prompts without shared parts, name no source.
+#[gtest]
+fn choose_without_source() {
+    let mut f = Fixture::new(&["a", "b"]);
+    let parts = [
+        PromptPart {
+            id: 7,
+            tokens: 5_000,
+        },
+        PromptPart { id: 8, tokens: 500 },
+    ];
+    let choice = f.ask(5_500, &parts, &[]).expect("an endpoint");
+    expect_that!(choice.source, none());
+    f.fleet.set_engine(&f.service, engine(None));
+    let choice = f.ask(5_500, &parts, &[]).expect("an endpoint");
+    expect_that!(choice.source, none());
+    f.fleet.set_engine(&f.service, engine(Some(400.0)));
+    expect_that!(f.place(5_500).source, none());
+}
+
+/// An endpoint takes over the home of a part: the endpoint that was its home is copied from.
+#[gtest]
+fn choose_source_is_former_home() {
+    let names = ["a", "b", "c", "d"];
+    let mut copied = 0;
+    for id in 1..40 {
+        let parts = [
+            PromptPart { id, tokens: 5_000 },
+            PromptPart { id: 0, tokens: 10 },
+        ];
+        let mut f = Fixture::new(&names);
+        f.fleet.set_engine(&f.service, engine(Some(400.0)));
+        let before = f.ask(5_010, &parts, &[]).expect("an endpoint");
+        let mut list: Vec<_> = names.iter().map(|name| listed(name)).collect();
+        list.push(listed("e"));
+        f.fleet.install(f.now, list);
+        let after = f.ask(5_010, &parts, &[]).expect("an endpoint");
+        if name(&after) == "e" {
+            expect_that!(after.source, some(eq(before.listed.address)));
+            copied += 1;
+        }
+    }
+    expect_that!(copied, gt(0));
+}
+
 /// A mix of long and short prompts: some engines are kept free of long ones.
 #[gtest]
 fn choose_long_prompts_apart() {
