--- a/lib/tests/test_stock.rs
+++ b/lib/tests/test_stock.rs
@@ -20,6 +20,8 @@
     Service {
         id: "llm".into(),
         engine: Some(EngineKind {
+            copied: None,
+            moves: false,
             slots: 64,
             memory: 600_000,
         }),
