Move runs off engines that leave, and order by a need that outlives the leader

The reading rate in its sum was 641 tokens/ms while engines read 101: refusals of 2 ms counted as readings, and the sum took the highest rate of all instances. - All entries that started at 42.6 s refused until 43.4 s, with a wait of 0.5 s; callers ask once more only, and 186 were refused again.

Changes: - A run at an engine that the list shows as leaving is copied while it goes on, stopped, and goes on at another engine. - The need is observed by every leader, also before it holds the lease; the list counts as settled from the start of the process.

Which cuts remain is to be looked at; engines that crash are among them.

--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -80,6 +80,34 @@
     pub last: Option<&'a str>,
     /// An engine that likely holds parts of the prompt which this one lacks.
     pub source: Option<SocketAddr>,
+    /// What a run that was stopped elsewhere goes on from.
+    pub copy: Option<&'a RunCopy>,
+}
+
+/// What an engine answers to a call for a copy of a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CopyAnswer {
+    /// The copy is complete.
+    Made {
+        /// Names the copy.
+        handle: String,
+    },
+    /// The other engine has no room. After a call that stops the run, the engine still holds it.
+    NoRoom {
+        /// Names what the engine holds.
+        handle: Option<String>,
+    },
+    /// There is no such run, or a call for it is in progress.
+    NoRun,
+}
+
+/// The memory of a run that another engine goes on from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunCopy {
+    /// The engine that ran it.
+    pub source: SocketAddr,
+    /// Names the memory at that engine.
+    pub handle: String,
 }
 
 /// Load that an endpoint states with an answer.
@@ -209,6 +237,15 @@
     /// Reads a page of the list of endpoints.
     fn list_page(&self, body: &[u8]) -> Result<ListPage, Malformed>;
 
+    /// Returns the call that copies the memory of a run to an engine, and stops the run if asked to.
+    fn copy_call(&self, id: &str, to: SocketAddr, stops: bool) -> PlatformCall;
+
+    /// Reads the answer to a call for a copy.
+    fn copy_answer(&self, status: u16, body: &[u8]) -> Result<CopyAnswer, Malformed>;
+
+    /// Returns the call that frees a copy.
+    fn forget_call(&self, handle: &str) -> PlatformCall;
+
     /// Returns the call that reports the requests of each workspace in a window.
     fn usage_call(
         &self,
--- a/lib/src/discovery.rs
+++ b/lib/src/discovery.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use tokio::sync::watch;
 
 use crate::clock::Clock;
 use crate::cluster_control::ClusterControl;
@@ -46,6 +47,8 @@
     pub control: ClusterControl,
     /// Takes the list.
     pub fleet: Arc<Mutex<Fleet>>,
+    /// Tells of changes of the list.
+    pub changed: watch::Sender<()>,
 }
 
 /// A running reader.
@@ -112,6 +115,9 @@
     let changes = fleet.install(now, list);
     config.control.set_work(fleet.works(now));
     drop(fleet);
+    if !changes.is_empty() {
+        config.changed.send_replace(());
+    }
     for change in changes {
         tracing::info!(
             endpoint = %change.endpoint,
--- a/lib/src/event_cutter.rs
+++ b/lib/src/event_cutter.rs
@@ -45,6 +45,11 @@
         events
     }
 
+    /// Returns the rest of a stream that ended, which no empty line closed.
+    pub fn rest(&mut self) -> Bytes {
+        self.partial.split().freeze()
+    }
+
     /// Forgets the part of an event that broke off, before the stream goes on elsewhere.
     pub fn restart(&mut self) {
         self.partial.clear();
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -42,6 +42,10 @@
 /// Weight of an observation above the known reading rate.
 const FASTER_WEIGHT: f64 = 0.3;
 
+/// Times the known rate that an observation counts at most; a prompt that the engine held already, such
+/// as that of a caller who asks again, seems to be read at any rate.
+const MOST_FASTER: f64 = 2.0;
+
 /// Part of the known rate that is forgotten with an observation below it: requests of other
 /// instances make most observations too low, so they prove little.
 const RATE_FADES: f64 = 0.001;
@@ -523,8 +527,8 @@
         ticket
     }
 
-    /// Records the first byte of an answer.
-    pub fn answered(&mut self, now: Instant, ticket: Ticket, load: Option<StatedLoad>) {
+    /// Records the first byte of an answer, and whether the endpoint ran the request for it.
+    pub fn answered(&mut self, now: Instant, ticket: Ticket, load: Option<StatedLoad>, ran: bool) {
         let Some(endpoint) = self.places.get(&ticket) else {
             return;
         };
@@ -538,14 +542,15 @@
         let Some(call) = endpoint.own.iter_mut().find(|c| c.ticket == ticket) else {
             return;
         };
-        if !std::mem::replace(&mut call.answered, true) && alone && call.certain >= OBSERVED_TOKENS
-        {
+        let first = !std::mem::replace(&mut call.answered, true);
+        if ran && first && alone && call.certain >= OBSERVED_TOKENS {
             let took = now.saturating_duration_since(call.since).as_secs_f64() * 1_000.0;
             // The engine read at least what no other request shares.
             let seen = f64::from(call.certain) / took.max(1.0);
             let seen = seen.clamp(*READ_RATES.start(), *READ_RATES.end());
             let service = endpoint.listed.service.clone();
             let rate = self.rates.entry(service).or_insert(READ_RATE);
+            let seen = seen.min(*rate * MOST_FASTER);
             *rate += match seen > *rate {
                 true => (seen - *rate) * FASTER_WEIGHT,
                 false => (seen - *rate) * RATE_FADES,
@@ -553,6 +558,13 @@
         }
     }
 
+    /// Tells whether the endpoint of a call is on the list as leaving.
+    pub fn leaves(&self, ticket: Ticket) -> bool {
+        let endpoint = self.places.get(&ticket);
+        let endpoint = endpoint.and_then(|id| self.endpoints.get(id));
+        endpoint.is_some_and(|endpoint| endpoint.listed.leaving)
+    }
+
     /// Records that an endpoint closes the connection after an answer, as one that leaves does before
     /// the list tells.
     pub fn closes(&mut self, now: Instant, ticket: Ticket) {
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -20,6 +21,7 @@
 use http::header;
 use http_body_util::BodyExt as _;
 use http_body_util::Limited;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 use crate::answer;
@@ -49,7 +51,18 @@
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(60);
 
 /// Wait told to callers of an instance that holds no configuration yet.
-const STARTING_RETRY: Duration = Duration::from_millis(500);
+const STARTING_RETRY: Duration = Duration::from_secs(1);
+
+/// Time after the start in which a configuration is expected any moment; a group that starts as a whole
+/// needs about a second for its election.
+const STARTING: Duration = Duration::from_secs(3);
+
+/// Time for which a request waits for the first configuration, at most. Callers take an instance that
+/// is silent for longer for a lost one.
+const STARTING_HOLD: Duration = Duration::from_secs(1);
+
+/// Interval at which a waiting request looks for the first configuration.
+const STARTING_STEP: Duration = Duration::from_millis(20);
 
 /// Headers that concern one connection only.
 const HOP_HEADERS: [HeaderName; 8] = [
@@ -73,6 +86,8 @@
     pub clock: Arc<dyn Clock>,
     /// Knowledge about endpoints.
     pub fleet: Arc<Mutex<Fleet>>,
+    /// Tells of changes of the list of endpoints.
+    pub changes: watch::Receiver<()>,
     /// Repeats that a service allows over all instances, as a part of its requests.
     pub retry_ratio: f64,
     /// Repeats over all instances beyond that part.
@@ -86,6 +101,7 @@
     pub(crate) settings: Settings,
     table: RwLock<Option<(Arc<Document>, Arc<RouteTable>)>>,
     budgets: Mutex<std::collections::HashMap<ServiceId, RetryBudget>>,
+    started: Instant,
     leaving: AtomicBool,
     open: AtomicUsize,
 }
@@ -99,6 +115,7 @@
     /// Creates a forwarder.
     pub fn new(settings: Settings) -> Arc<Self> {
         Arc::new(Self {
+            started: settings.clock.now(),
             settings,
             table: RwLock::default(),
             budgets: Mutex::default(),
@@ -145,6 +162,20 @@
         }
     }
 
+    /// Returns the routes, for which a request waits while the instance starts.
+    async fn first_table(&self, arrived: Instant, ask: &Ask) -> Option<Arc<RouteTable>> {
+        // Half of the caller's time is left for the endpoint.
+        let patience = ask.patience.unwrap_or(DEFAULT_PATIENCE) / 2;
+        let until = (self.started + STARTING).min(arrived + STARTING_HOLD.min(patience));
+        loop {
+            let table = self.table();
+            if table.is_some() || self.settings.clock.now() >= until {
+                return table;
+            }
+            tokio::time::sleep(STARTING_STEP).await;
+        }
+    }
+
     fn take_services(&self, table: &RouteTable) {
         let mut fleet = self.settings.fleet.lock().expect("fleet lock poisoned");
         for service in table.services() {
@@ -227,7 +258,7 @@
         })?;
         let id = ask.id.clone();
         let failed = |refusal: Refusal| (id.clone(), refusal);
-        let table = self.table().ok_or_else(|| {
+        let table = self.first_table(arrived, &ask).await.ok_or_else(|| {
             failed(Refusal {
                 code: ResultCode::ViewExpired,
                 retry: Some(STARTING_RETRY),
@@ -248,7 +279,7 @@
         let body = read_body(body, table.limits.body, table.limits.arrival).await;
         let body = body.map_err(|code| failed(code.into()))?;
         let service = route.pick(&mut rand::rng()).clone();
-        let is_engine = table.service(&service).is_some_and(|s| s.engine.is_some());
+        let engine = table.service(&service).and_then(|s| s.engine.clone());
         self.earn(&service);
         let job = Job {
             forwarder: self.clone(),
@@ -263,7 +294,7 @@
             ask,
             route,
             service,
-            is_engine,
+            engine,
             workspace,
             rank,
             arrived,
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -18,7 +18,7 @@
 use crate::control::Control;
 use crate::dialect::Ask;
 use crate::dialect::Onward;
-use crate::event_cutter::EventCutter;
+use crate::dialect::RunCopy;
 use crate::fleet::CallEnd;
 use crate::fleet::Choice;
 use crate::fleet::NoChoice;
@@ -31,6 +31,7 @@
 use crate::ids::EndpointId;
 use crate::ids::ServiceId;
 use crate::ids::WorkspaceId;
+use crate::route_table::EngineKind;
 use crate::route_table::Repeat;
 use crate::route_table::Route;
 use crate::server;
@@ -117,7 +118,8 @@
     pub ask: Ask,
     pub route: Arc<Route>,
     pub service: ServiceId,
-    pub is_engine: bool,
+    /// What the engines of the service offer, if it has engines.
+    pub engine: Option<EngineKind>,
     pub workspace: Option<WorkspaceId>,
     pub rank: u8,
     pub arrived: Instant,
@@ -133,17 +135,45 @@
     pub _place: Open,
 }
 
+/// Where an attempt begins.
+#[derive(Default)]
+pub(crate) struct Onset {
+    /// Last event that the caller has.
+    pub last: Option<String>,
+    /// A stopped run that goes on.
+    pub moved: Option<Moved>,
+}
+
+/// A stopped run and the endpoint at which it goes on.
+pub(crate) struct Moved {
+    pub flight: Flight,
+    pub copy: RunCopy,
+}
+
 /// A call at an endpoint, whose end is recorded once.
-struct Flight {
+pub(crate) struct Flight {
     forwarder: Arc<Forwarder>,
-    ticket: Ticket,
-    choice: Choice,
+    pub ticket: Ticket,
+    pub choice: Choice,
     sent: Instant,
     ended: bool,
 }
 
 impl Flight {
-    fn end(&mut self, end: CallEnd) {
+    /// Records a run that goes on at an endpoint.
+    pub(crate) fn start(forwarder: &Arc<Forwarder>, choice: Choice) -> Self {
+        let now = forwarder.settings.clock.now();
+        let ticket = forwarder.fleet().start(now, &choice, &[]);
+        Self {
+            forwarder: forwarder.clone(),
+            ticket,
+            choice,
+            sent: now,
+            ended: false,
+        }
+    }
+
+    pub(crate) fn end(&mut self, end: CallEnd) {
         if !std::mem::replace(&mut self.ended, true) {
             let now = self.forwarder.settings.clock.now();
             self.forwarder.fleet().end(now, self.ticket, end);
@@ -158,15 +188,15 @@
 }
 
 /// An answer whose first part has arrived.
-struct Started {
-    answer: upstream::Answer,
-    flight: Flight,
+pub(crate) struct Started {
+    pub answer: upstream::Answer,
+    pub flight: Flight,
     /// First part of the body, or nothing if the body is empty.
-    first: Option<Bytes>,
+    pub first: Option<Bytes>,
 }
 
 /// An attempt without the start of a usable answer.
-enum Failure {
+pub(crate) enum Failure {
     /// The endpoint's own answer, which the caller gets if nothing better follows.
     Answered(Box<Started>, CallEnd),
     /// No answer.
@@ -176,18 +206,18 @@
 }
 
 impl Job {
-    fn now(&self) -> Instant {
+    pub(crate) fn now(&self) -> Instant {
         self.forwarder.settings.clock.now()
     }
 
-    fn left(&self) -> Duration {
+    pub(crate) fn left(&self) -> Duration {
         self.end.saturating_duration_since(self.now())
     }
 
     /// Makes attempts until the caller has an answer or none can follow.
     pub(crate) async fn run(mut self) -> Result<Response, Refusal> {
         loop {
-            let failure = match self.attempt(None).await? {
+            let failure = match self.attempt(Onset::default()).await? {
                 Ok(started) => return self.pass_on(started).await,
                 Err(failure) => failure,
             };
@@ -223,7 +253,7 @@
         }
     }
 
-    fn tries_again(&mut self, end: CallEnd) -> bool {
+    pub(crate) fn tries_again(&mut self, end: CallEnd) -> bool {
         let reached = end != CallEnd::Unreachable;
         if !reached {
             self.unreached += 1;
@@ -264,13 +294,10 @@
         Ok((choice, ticket))
     }
 
-    /// Sends the request to an endpoint and waits for the first part of the answer.
-    async fn attempt(&mut self, last: Option<&str>) -> Result<Result<Started, Failure>, Refusal> {
+    /// Chooses an endpoint for the request, or returns the refusal that its caller gets.
+    fn place(&self) -> Result<Flight, Refusal> {
         let left = self.left();
-        if left < LEAST_OFFER {
-            return Ok(Err(Failure::Late));
-        }
-        let (choice, ticket) = self.choose().map_err(|reason| {
+        let placed = self.choose().map_err(|reason| {
             let retry = match reason {
                 NoChoice::Nowhere => MAX_RETRY / 3,
                 NoChoice::Late { expected } => (expected / 2).min(MAX_RETRY),
@@ -291,16 +318,38 @@
                 },
                 retry: Some(retry.mul_f64(jitter)),
             }
-        })?;
-        let mut flight = Flight {
+        });
+        placed.map(|(choice, ticket)| self.flight(choice, ticket))
+    }
+
+    /// Returns the guard of a call that is about to be sent.
+    pub(crate) fn flight(&self, choice: Choice, ticket: Ticket) -> Flight {
+        Flight {
             forwarder: self.forwarder.clone(),
             ticket,
             choice,
             sent: self.now(),
             ended: false,
+        }
+    }
+
+    /// Sends the request to an endpoint and waits for the first part of the answer.
+    pub(crate) async fn attempt(
+        &mut self,
+        onset: Onset,
+    ) -> Result<Result<Started, Failure>, Refusal> {
+        let left = self.left();
+        if left < LEAST_OFFER {
+            return Ok(Err(Failure::Late));
+        }
+        let Onset { last, moved } = onset;
+        let (mut flight, copy) = match moved {
+            Some(moved) => (moved.flight, Some(moved.copy)),
+            None => (self.place()?, None),
         };
         let patience = self.silence_limit(&flight.choice).min(left);
-        let result = match timeout(patience, self.exchange(&mut flight, last)).await {
+        let exchange = self.exchange(&mut flight, last.as_deref(), copy.as_ref());
+        let result = match timeout(patience, exchange).await {
             Ok(result) => result,
             Err(_) if patience < left => Err(Failure::Silent(CallEnd::Broken)),
             Err(_) => Err(Failure::Late),
@@ -312,11 +361,10 @@
         };
         if let Some(end) = end {
             flight.end(end);
-            if end != CallEnd::Unreachable {
-                self.attempts += 1;
-            }
             self.excluded.push(flight.choice.listed.id.clone());
-        } else {
+        }
+        // A run that goes on from its copy is the same one.
+        if end != Some(CallEnd::Unreachable) && copy.is_none() {
             self.attempts += 1;
         }
         self.log_attempt(&flight, end);
@@ -331,7 +379,7 @@
     ///
     /// Only a request that may be repeated, at endpoints that it has not been to, is taken away; any
     /// other one waits as long as its caller does.
-    fn silence_limit(&self, choice: &Choice) -> Duration {
+    pub(crate) fn silence_limit(&self, choice: &Choice) -> Duration {
         let is_last = self.attempts + 1 >= self.route.attempts;
         if is_last || !self.route.repeat.is_repeatable() {
             return Duration::MAX;
@@ -366,6 +414,7 @@
         &mut self,
         flight: &mut Flight,
         last: Option<&str>,
+        copy: Option<&RunCopy>,
     ) -> Result<(upstream::Answer, Option<Bytes>), Failure> {
         let dialect = self.forwarder.settings.dialect.clone();
         let mut headers = self.headers.clone();
@@ -377,9 +426,10 @@
                 left: self.left().saturating_sub(RETURN_MARGIN),
                 workspace: self.workspace.as_ref(),
                 rank: self.rank,
-                engine: self.is_engine,
+                engine: self.engine.is_some(),
                 last,
                 source: flight.choice.source,
+                copy,
             },
         );
         let call = Call {
@@ -416,7 +466,8 @@
         };
         let now = self.now();
         let mut fleet = self.forwarder.fleet();
-        fleet.answered(now, flight.ticket, facts.load);
+        let ran = is_success && facts.signed && !facts.refused;
+        fleet.answered(now, flight.ticket, facts.load, ran);
         if answer.closes() {
             fleet.closes(now, flight.ticket);
         }
@@ -524,104 +575,7 @@
         respond(status, headers, body)
     }
 
-    async fn relay(
-        mut self,
-        mut started: Started,
-        sender: tokio::sync::mpsc::Sender<io::Result<Bytes>>,
-    ) {
-        let resumable = self.route.repeat == Repeat::Stream { resumable: true };
-        let mut cutter = EventCutter::default();
-        loop {
-            let outcome = self
-                .relay_one(&mut started, &sender, &mut cutter, resumable)
-                .await;
-            let end = match outcome {
-                RelayEnd::Whole => CallEnd::Served,
-                RelayEnd::Broken => CallEnd::Broken,
-                RelayEnd::Left | RelayEnd::Late => CallEnd::Cancelled,
-            };
-            started.flight.end(end);
-            match outcome {
-                RelayEnd::Whole => return self.finish(200),
-                RelayEnd::Left => {
-                    tracing::info!(request = self.ask.id, "the caller left");
-                    return;
-                }
-                RelayEnd::Late => break,
-                RelayEnd::Broken => {}
-            }
-            drop(started);
-            match self.resume(&cutter, resumable).await {
-                Some(next) => started = next,
-                None => break,
-            }
-            cutter.restart();
-        }
-        tracing::info!(request = self.ask.id, "stream broken off");
-        self.forwarder
-            .settings
-            .metrics
-            .refused(ResultCode::StreamInterrupted);
-        let error = io::Error::other("the stream broke off");
-        // The caller may have left, in which case nobody is to be told.
-        let _ = sender.send(Err(error)).await;
-    }
-
-    /// Passes pieces on until the answer ends or breaks.
-    async fn relay_one(
-        &mut self,
-        started: &mut Started,
-        sender: &tokio::sync::mpsc::Sender<io::Result<Bytes>>,
-        cutter: &mut EventCutter,
-        resumable: bool,
-    ) -> RelayEnd {
-        let mut piece = started.first.take();
-        loop {
-            if let Some(bytes) = piece {
-                // Only whole events are passed on where another endpoint may have to go on.
-                let bytes = if resumable { cutter.push(bytes) } else { bytes };
-                if !bytes.is_empty() && sender.send(Ok(bytes)).await.is_err() {
-                    return RelayEnd::Left;
-                }
-            }
-            let left = self.left();
-            let limit = match resumable {
-                true => self.silence_limit(&started.flight.choice).min(left),
-                false => left,
-            };
-            let next = tokio::select! {
-                next = timeout(limit, started.answer.next()) => next,
-                () = sender.closed() => return RelayEnd::Left,
-            };
-            piece = match next {
-                Ok(Ok(Some(bytes))) => Some(bytes),
-                Ok(Ok(None)) if resumable && cutter.is_partial() => return RelayEnd::Broken,
-                Ok(Ok(None)) => return RelayEnd::Whole,
-                Ok(Err(_)) => return RelayEnd::Broken,
-                Err(_) if limit < left => return RelayEnd::Broken,
-                Err(_) => return RelayEnd::Late,
-            };
-        }
-    }
-
-    /// Asks another endpoint to go on after the last whole event.
-    async fn resume(&mut self, cutter: &EventCutter, resumable: bool) -> Option<Started> {
-        if !resumable {
-            return None;
-        }
-        let last = cutter.last().map(str::to_owned);
-        let mut end = CallEnd::Broken;
-        while self.tries_again(end) {
-            end = match self.attempt(last.as_deref()).await {
-                Ok(Ok(started)) => return Some(started),
-                Ok(Err(Failure::Answered(_, end) | Failure::Silent(end))) => end,
-                Ok(Err(Failure::Late)) | Err(_) => return None,
-            };
-        }
-        None
-    }
-
-    fn finish(&self, status: u16) {
+    pub(crate) fn finish(&self, status: u16) {
         let took = self.now().saturating_duration_since(self.arrived);
         self.forwarder
             .settings
@@ -637,15 +591,6 @@
     }
 }
 
-/// How the relay of one endpoint's answer ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RelayEnd {
-    Whole,
-    Broken,
-    Left,
-    Late,
-}
-
 impl Flight {
     /// Moves the duty to record the end to a new guard.
     fn split(&mut self) -> Self {
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -11,6 +11,8 @@
 use eyre::Context as _;
 
 use crate::answer;
+use tokio::sync::watch;
+
 use crate::clock::Clock;
 use crate::clock::SystemClock;
 use crate::command::UsageTerms;
@@ -158,11 +160,13 @@
         metrics: TrafficMetrics,
     ) -> eyre::Result<()> {
         let fleet = Arc::new(Mutex::new(Fleet::new(self.settings.zone.clone())));
+        let (changed, changes) = watch::channel(());
         let forwarder = Forwarder::new(forward::Settings {
             control: self.control.control(),
             dialect: dialect.clone(),
             clock: clock.clone(),
             fleet: fleet.clone(),
+            changes,
             retry_ratio: self.settings.retry_ratio,
             retry_slack: self.settings.retry_slack,
             metrics,
@@ -175,6 +179,7 @@
                 clock: clock.clone(),
                 control: self.control.control(),
                 fleet,
+                changed,
             })?);
         }
         let front = Arc::new(ForwardFront(forwarder.clone()));
--- a/lib/src/site_duties.rs
+++ b/lib/src/site_duties.rs
@@ -40,6 +40,7 @@
 use crate::reporter;
 use crate::reporter::Reporter;
 use crate::route_table::RouteTable;
+use crate::route_table::Service;
 use crate::stock::Stock;
 use crate::usage::WindowReport;
 
@@ -95,7 +96,7 @@
             reports: caller("usage-reports")?,
             buyer: Buyer {
                 holder: LeaseHolder::new(LeaseKind::Orders, me.clone()),
-                stock: Stock::default(),
+                stock: Stock::new(config.clock.now()),
                 fence: 0,
                 pending: 0,
                 listed: None,
@@ -220,28 +221,35 @@
             let answer = self.config.control.submit_later(command, SUBMIT_TIMEOUT);
             self.leases.push((LeaseKind::Orders, now, answer));
         }
-        let Some(guard) = self.buyer.holder.guard(now, wall) else {
+        self.read_table();
+        let total = self.config.control.total_work();
+        let work = |service: &Service| total.get(&service.id).copied().unwrap_or_default();
+        let guard = self.buyer.holder.guard(now, wall);
+        let Some(guard) = guard else {
+            if let Some((_, table)) = &self.buyer.table {
+                for service in table.services() {
+                    self.buyer.stock.observe(now, service, &work(service));
+                }
+            }
             return;
         };
         if self.buyer.fence != guard.fence() {
             self.buyer.fence = guard.fence();
-            self.buyer.stock.restart();
+            self.buyer.stock.take_over();
         }
         // One round at a time, so that a later order never overtakes an earlier one.
         if self.buyer.pending > 0 {
             return;
         }
         self.read_list(now);
-        self.read_table();
         let Some((_, list)) = &self.buyer.listed else {
             return;
         };
         let Some((_, table)) = &self.buyer.table else {
             return;
         };
-        let total = self.config.control.total_work();
         for service in table.services() {
-            let work = total.get(&service.id).copied().unwrap_or_default();
+            let work = work(service);
             for order in self.buyer.stock.plan(now, service, &work, list) {
                 tracing::info!(
                     service = %order.service,
--- a/lib/src/stock.rs
+++ b/lib/src/stock.rs
@@ -43,8 +43,9 @@
 /// Time after the first request in which the need is not known yet.
 const LEARNING: Duration = Duration::from_secs(5);
 
-/// Time in which the list is complete, although it lags and fills one by one at the first start.
-const SETTLING: Duration = Duration::from_secs(4);
+/// Time from the start of the process in which the list is complete, although it lags and fills one by
+/// one at the first start of all.
+const SETTLING: Duration = Duration::from_secs(6);
 
 /// Time after which an availability zone without reclaimable endpoints is asked again.
 const DRY: Duration = Duration::from_secs(4);
@@ -72,23 +73,58 @@
 }
 
 /// Plans the stock of all services.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Stock {
+    /// When the process started.
+    created: Instant,
     /// When callers were first seen.
     started: Option<Instant>,
     /// Most endpoints of each service that were there at once, before its need was known.
     first: BTreeMap<ServiceId, u32>,
-    /// When the list was first looked at.
-    looked: Option<Instant>,
     needs: BTreeMap<ServiceId, VecDeque<(Instant, f64)>>,
     sent: BTreeMap<Place, Sent>,
     dry: BTreeMap<(ServiceId, ZoneId), Instant>,
 }
 
 impl Stock {
-    /// Forgets what was ordered, because somebody else may have ordered since.
-    pub fn restart(&mut self) {
-        *self = Self::default();
+    /// Creates the plan of a process that starts now.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            created: now,
+            started: None,
+            first: BTreeMap::new(),
+            needs: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            dry: BTreeMap::new(),
+        }
+    }
+
+    /// Forgets what was ordered, because somebody else may have ordered since; the need is the same.
+    pub fn take_over(&mut self) {
+        self.sent.clear();
+        self.dry.clear();
+    }
+
+    /// Remembers what a service needs, also while another process may order.
+    pub fn observe(&mut self, now: Instant, service: &Service, work: &Work) {
+        if service.scaling.is_none() {
+            return;
+        }
+        let slots = service.engine.as_ref().map_or(1, |engine| engine.slots);
+        let engine = work.rate.max(1.0) * 1_000.0;
+        let reading = work.long / (engine * LONG_USE) + work.short / (engine * SHORT_USE);
+        let running = work.calls / (f64::from(slots.max(1)) * SLOT_USE);
+        let need = reading.max(running);
+        let needs = self.needs.entry(service.id.clone()).or_default();
+        needs.push_back((now, need));
+        while let Some((at, _)) = needs.front()
+            && now.saturating_duration_since(*at) > MEMORY
+        {
+            needs.pop_front();
+        }
+        if self.started.is_none() && need > 0.0 {
+            self.started = Some(now);
+        }
     }
 
     /// Returns the orders to send now for one service.
@@ -102,12 +138,18 @@
         let Some(scaling) = &service.scaling else {
             return Vec::new();
         };
-        let looked = *self.looked.get_or_insert(now);
+        self.observe(now, service, work);
         let counts = Counts::of(service, list);
-        let need = self.need(now, service, work, counts.total());
-        if now.saturating_duration_since(looked) < SETTLING {
+        let settles = now.saturating_duration_since(self.created) < SETTLING;
+        let first = self.first.entry(service.id.clone()).or_insert(0);
+        // Later the list also holds what was ordered.
+        if settles || *first == 0 {
+            *first = counts.total().max(*first);
+        }
+        if settles {
             return Vec::new();
         }
+        let need = self.need(now, service);
         let targets = self.targets(now, service, scaling, need, &counts);
         let mut orders = Vec::new();
         for ((zone, reclaimable), count) in targets {
@@ -151,31 +193,10 @@
     }
 
     /// Returns how many endpoints of a service are needed; what is there, while that is not known.
-    fn need(&mut self, now: Instant, service: &Service, work: &Work, present: u32) -> Need {
-        let slots = service.engine.as_ref().map_or(1, |engine| engine.slots);
-        let engine = work.rate.max(1.0) * 1_000.0;
-        let reading = work.long / (engine * LONG_USE) + work.short / (engine * SHORT_USE);
-        let running = work.calls / (f64::from(slots.max(1)) * SLOT_USE);
-        let needs = self.needs.entry(service.id.clone()).or_default();
-        needs.push_back((now, reading.max(running)));
-        while let Some((at, _)) = needs.front()
-            && now.saturating_duration_since(*at) > MEMORY
-        {
-            needs.pop_front();
-        }
-        let highest = needs.iter().map(|(_, need)| *need).fold(0.0, f64::max);
-        if self.started.is_none() && highest > 0.0 {
-            self.started = Some(now);
-        }
-        let first = self.first.entry(service.id.clone()).or_insert(present);
-        // Later the list also holds what was ordered.
-        if self
-            .looked
-            .is_none_or(|at| now.saturating_duration_since(at) < SETTLING)
-        {
-            *first = present.max(*first);
-        }
-        let first = *first;
+    fn need(&self, now: Instant, service: &Service) -> Need {
+        let needs = self.needs.get(&service.id).into_iter().flatten();
+        let highest = needs.map(|(_, need)| *need).fold(0.0, f64::max);
+        let first = self.first.get(&service.id).copied().unwrap_or(0);
         // With one zone taken back at once, the others still hold what is needed.
         let zones = service.scaling.as_ref().map_or(1, |s| s.prices.len());
         let zones = zones.max(2) as f64;
--- a/lib/src/work.rs
+++ b/lib/src/work.rs
@@ -37,11 +37,17 @@
 }
 
 impl Work {
+    /// Adds the part of an instance; the rate is the mean by tokens, so that no single instance decides
+    /// how many endpoints are needed.
     fn add(&mut self, other: &Self) {
+        let (own, more) = (self.long + self.short, other.long + other.short);
+        self.rate = match own + more > 0.0 {
+            true => (self.rate * own + other.rate * more) / (own + more),
+            false => self.rate.max(other.rate),
+        };
         self.long += other.long;
         self.short += other.short;
         self.calls += other.calls;
-        self.rate = self.rate.max(other.rate);
     }
 }
 
--- a/lib/tests/test_event_cutter.rs
+++ b/lib/tests/test_event_cutter.rs
@@ -46,6 +46,15 @@
     expect_that!(push(&mut cutter, again), eq("id: 3\ndata: c\n\n"));
 }
 
+/// A stream that ends without an empty line is passed on whole where nobody has to go on after it.
+#[gtest]
+fn rest_of_ended_stream() {
+    let mut cutter = EventCutter::default();
+    push(&mut cutter, "id: 1\ndata: a\n\nid: 2\ndata: b\n");
+    expect_that!(cutter.rest().as_ref(), eq(b"id: 2\ndata: b\n"));
+    expect_that!(cutter.is_partial(), eq(false));
+}
+
 proptest! {
     #[test]
     fn push_any_division(cuts in proptest::collection::vec(1..20_usize, 0..40)) {
