Order cheap endpoints before callers come, and others at the notice of a lost zone

The 18 endpoints of the start were given back only 1.4 s after the first callers, because the plan waited for the list to fill before it ordered cheaper ones. When a zone was taken back at 8.9 s, the plan repeated its order there at 12.7 s, got a refusal, and only then saw room for other endpoints.

Change: while the list fills, orders may only raise the number of reclaimable endpoints; those do not count as what was there.

--- a/lib/src/stock.rs
+++ b/lib/src/stock.rs
@@ -142,19 +142,25 @@
         let counts = Counts::of(service, list);
         let settles = now.saturating_duration_since(self.created) < SETTLING;
         let first = self.first.entry(service.id.clone()).or_insert(0);
-        // Later the list also holds what was ordered.
+        // What was ordered does not count as what was there.
         if settles || *first == 0 {
-            *first = counts.total().max(*first);
-        }
-        if settles {
-            return Vec::new();
+            let ordered = match self.sent.is_empty() {
+                true => 0,
+                false => counts.reclaimable(),
+            };
+            *first = (counts.total() - ordered).max(*first);
         }
+        self.note_taken_back(now, service, list);
         let need = self.need(now, service);
         let targets = self.targets(now, service, scaling, need, &counts);
         let mut orders = Vec::new();
         for ((zone, reclaimable), count) in targets {
             let place = (service.id.clone(), zone.clone(), reclaimable);
             let present = counts.get(&zone, reclaimable);
+            // A list that is not complete says what is there at least, but not what is too much.
+            if settles && !(reclaimable && count > present) {
+                continue;
+            }
             let is_due = match self.sent.get(&place) {
                 None => present != count,
                 Some(sent) if sent.count != count => true,
@@ -176,6 +182,27 @@
         orders
     }
 
+    /// Takes an availability zone whose reclaimable endpoints leave although they are wanted for one
+    /// that has none, so that others are ordered before the platform refuses more.
+    fn note_taken_back(&mut self, now: Instant, service: &Service, list: &[ListedEndpoint]) {
+        let of = |l: &&ListedEndpoint| l.service == service.id && l.reclaimable;
+        let mut zones: BTreeMap<&ZoneId, (u32, u32)> = BTreeMap::new();
+        for listed in list.iter().filter(of) {
+            let (ready, leaving) = zones.entry(&listed.zone).or_default();
+            *(if listed.leaving { leaving } else { ready }) += 1;
+        }
+        for (zone, (ready, leaving)) in zones {
+            let place = (service.id.clone(), zone.clone(), true);
+            let wanted = self.sent.get(&place).map_or(0, |sent| sent.count);
+            if ready == 0 && leaving > 1 && wanted > 0 {
+                // Asked again as soon as it may have some.
+                self.sent.remove(&place);
+                let place = (service.id.clone(), zone.clone());
+                self.dry.insert(place, now + DRY);
+            }
+        }
+    }
+
     /// Records that the platform has none of the ordered endpoints, or did not take the order.
     pub fn refused(&mut self, now: Instant, order: &EndpointOrder) {
         let place = (order.service.clone(), order.zone.clone(), order.reclaimable);
