Turn away long requests beyond the reading capacity

A zone was taken back during a burst and 13 engines stayed for 880,000 prompt tokens/s.

Change: while more than half of the places are taken, the part of the long requests that the usable engines cannot read in half of their time is turned away at once, with 3 s to come back, when ordered engines serve. Most urgent and short requests are not, nor what was accepted once, and at most 0.6 of the long ones. What was turned away counts as asked for, so that endpoints are ordered for it.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -7,6 +7,8 @@
 //! * Sessions that share a prompt: an engine that read the shared part answers sooner, as long as
 //!   its queue is short; an unknown part is given a home by rendezvous hashing, on which all
 //!   instances agree without a message.
+//! * A zone of engines that is taken back during a burst: what the remaining ones cannot read is turned
+//!   away at once, by long requests, since engines that read all the time finish no stream.
 //! * Load beyond capacity: long requests give way while more urgent ones find no room, so that no
 //!   kind is turned away for one that is less urgent.
 //! * Endpoints that fail, refuse or fall silent: recent failures and unanswered calls count as
@@ -114,6 +116,16 @@
 /// the other, and the copy takes memory from other prompts.
 const COPY_WEIGHT: f64 = 3.0;
 
+/// Part of an engine's time that reading may take while its streams still end in time; the other half is
+/// for their steps.
+const FULL_USE: f64 = 0.5;
+
+/// Part of the places that is taken before requests are turned away for lack of reading capacity.
+const BUSY_PLACES: f64 = 0.5;
+
+/// Largest part of the long requests that is turned away, so that no kind is without service.
+const MAX_EXCESS: f64 = 0.6;
+
 /// Use by long prompts up to which another engine is not needed for them. While an engine reads, each
 /// token of its other requests takes a whole chunk's time, so half of the time must be left for them.
 const READER_USE: f64 = 0.35;
@@ -144,6 +156,8 @@
     pub total: Work,
     /// Place among all requests, 0 for the most urgent.
     pub urgency: u8,
+    /// A random number below 1, by which it is among the requests that are turned away.
+    pub draw: f64,
 }
 
 /// Where a request goes.
@@ -177,6 +191,8 @@
     },
     /// More urgent requests were turned away just before.
     Yields,
+    /// All callers together ask for more than the endpoints can read.
+    Full,
 }
 
 /// How a call ended.
@@ -353,6 +369,9 @@
             return Err(NoChoice::Yields);
         }
         let rate = self.rates.get(want.service).copied().unwrap_or(READ_RATE);
+        if want.draw < self.excess(want, rate) {
+            return Err(NoChoice::Full);
+        }
         let readers = self.readers(want, rate);
         let is_long = want.prompt >= LONG_PROMPT;
         let suits = |e: &Endpoint| readers.is_empty() || is_long == readers.contains(&e.hash);
@@ -413,6 +432,32 @@
         }
     }
 
+    /// Returns the part of the long requests that the endpoints have no capacity for.
+    fn excess(&self, want: &Want<'_>, rate: f64) -> f64 {
+        if want.prompt < LONG_PROMPT || want.urgency == 0 || want.total.long <= 0.0 {
+            return 0.0;
+        }
+        let usable = self.of(want.service).filter(|e| e.is_usable());
+        let (count, slots) = usable.fold((0.0, 0.0), |(count, slots), e| {
+            (count + 1.0, slots + f64::from(e.listed.slots))
+        });
+        // Nobody is turned away while the batches have room.
+        if want.total.calls < slots * BUSY_PLACES {
+            return 0.0;
+        }
+        let capacity = count * rate * 1_000.0 * FULL_USE;
+        let excess = want.total.long + want.total.short - capacity;
+        (excess / want.total.long).clamp(0.0, MAX_EXCESS)
+    }
+
+    /// Records the tokens of a request that was turned away, which its service should have capacity for.
+    pub fn missed(&mut self, now: Instant, want: &Want<'_>) {
+        let flows = self.flows.entry(want.service.clone());
+        let flows = flows.or_insert_with(|| Flows::new(now));
+        let own = want.prompt.saturating_sub(shared(want.parts));
+        flows.long.add(now, f64::from(own));
+    }
+
     /// Tells whether a long request gives way to more urgent ones that found no room.
     fn yields(&self, now: Instant, want: &Want<'_>) -> bool {
         let turned = self.turned.get(want.service);
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -277,6 +277,11 @@
             left: self.left(),
             total: total.unwrap_or_default(),
             urgency: self.rank,
+            draw: match self.attempts {
+                0 => rand::rng().random_range(0.0..1.0),
+                // What was accepted once is not turned away.
+                _ => 1.0,
+            },
         };
         let choice = match fleet.choose(now, &want) {
             Err(NoChoice::Nowhere) if !self.excluded.is_empty() => {
@@ -285,8 +290,13 @@
             }
             other => other,
         };
-        if let Err(NoChoice::Late { .. }) = choice {
-            fleet.turned_away(now, &self.service, self.rank);
+        match choice {
+            Err(NoChoice::Late { .. }) => fleet.turned_away(now, &self.service, self.rank),
+            Err(NoChoice::Full) => {
+                fleet.missed(now, &want);
+                control.set_work(fleet.works(now));
+            }
+            _ => {}
         }
         let choice = choice?;
         let ticket = fleet.start(now, &choice, &self.ask.parts);
@@ -302,6 +312,8 @@
                 NoChoice::Nowhere => MAX_RETRY / 3,
                 NoChoice::Late { expected } => (expected / 2).min(MAX_RETRY),
                 NoChoice::Yields => MAX_RETRY / 2,
+                // Until then ordered endpoints serve.
+                NoChoice::Full => MAX_RETRY,
             };
             tracing::info!(
                 request = self.ask.id,
@@ -314,7 +326,9 @@
             Refusal {
                 code: match reason {
                     NoChoice::Nowhere => ResultCode::NoEndpoint,
-                    NoChoice::Late { .. } | NoChoice::Yields => ResultCode::Overloaded,
+                    NoChoice::Late { .. } | NoChoice::Yields | NoChoice::Full => {
+                        ResultCode::Overloaded
+                    }
                 },
                 retry: Some(retry.mul_f64(jitter)),
             }
--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -180,6 +180,7 @@
             left: self.left(),
             total: Default::default(),
             urgency: self.rank,
+            draw: 1.0,
         };
         let flight = {
             let mut fleet = forwarder.fleet();
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -71,15 +71,25 @@
         excluded: &[EndpointId],
     ) -> Result<Choice, NoChoice> {
         let want = Want {
-            service: &self.service,
             prompt,
             parts,
             excluded,
+            ..self.want()
+        };
+        self.fleet.choose(self.now, &want)
+    }
+
+    fn want(&self) -> Want<'_> {
+        Want {
+            service: &self.service,
+            prompt: 0,
+            parts: &[],
+            excluded: &[],
             left: Duration::from_secs(10),
             total: self.total,
             urgency: 2,
-        };
-        self.fleet.choose(self.now, &want)
+            draw: 0.0,
+        }
     }
 
     fn place(&self, prompt: u32) -> Choice {
@@ -276,6 +286,52 @@
     expect_that!(long.is_disjoint(&short), eq(true));
 }
 
+/// Most of a service's engines are taken back during a burst: of the long requests, the part that the
+/// others cannot read is turned away at once and counts as asked for; short and most urgent ones are not.
+#[gtest]
+fn choose_within_capacity() {
+    let mut f = Fixture::new(&["a", "b"]);
+    // Two engines read 50 tokens/ms each, half of the time.
+    f.total = Work {
+        long: 80_000.0,
+        short: 10_000.0,
+        calls: 100.0,
+        rate: 50.0,
+    };
+    let refused = |f: &Fixture, prompt: u32, urgency: u8| {
+        let ask = |draw: f64| Want {
+            prompt,
+            urgency,
+            draw,
+            ..f.want()
+        };
+        let draws = (0..100).map(|n| f64::from(n) / 100.0);
+        let full = Err(NoChoice::Full);
+        draws
+            .filter(|draw| f.fleet.choose(f.now, &ask(*draw)) == full)
+            .count()
+    };
+    // 40,000 of 80,000 tokens/s are too many.
+    expect_that!(refused(&f, 10_000, 2), eq(50));
+    expect_that!(refused(&f, 500, 2), eq(0));
+    expect_that!(refused(&f, 10_000, 0), eq(0));
+    f.total.long = 500_000.0;
+    expect_that!(refused(&f, 10_000, 2), eq(60));
+    // Nobody is turned away while half of the places are free.
+    f.total.calls = 60.0;
+    expect_that!(refused(&f, 10_000, 2), eq(0));
+    let before = f.fleet.works(f.now).len();
+    let want = Want {
+        prompt: 10_000,
+        ..f.want()
+    };
+    let now = f.now;
+    let mut fleet = Fleet::new("z".into());
+    fleet.missed(now, &want);
+    expect_that!(before, eq(0));
+    expect_that!(fleet.works(now)[&f.service].long, gt(0.0));
+}
+
 /// Engines that fail are not used at once, and are not lost for good.
 #[gtest]
 fn choose_failures_fade() {
