Tell other instances which engines hold shared prompt parts

The guess by the rendezvous order fails whenever a home was busy or new.

A choice then finds the engine that holds a part, to go there or to copy from it.

--- a/lib/src/cluster_control.rs
+++ b/lib/src/cluster_control.rs
@@ -26,6 +26,7 @@
 use crate::control_shared::Status;
 use crate::ids::WorkspaceId;
 use crate::rule_state::CommittedChange;
+use crate::sighting::Sighting;
 use crate::state::State;
 use crate::view::Version;
 use crate::view::View;
@@ -123,6 +124,16 @@
         *self.shared.work.lock().expect("work lock poisoned") = works;
     }
 
+    /// Tells the other instances which prompt parts engines were sent.
+    pub fn tell(&self, sightings: Vec<Sighting>) {
+        self.shared.told.append(sightings);
+    }
+
+    /// Returns what the other instances told since the last call.
+    pub fn heard(&self) -> Vec<Sighting> {
+        self.shared.heard.take()
+    }
+
     /// Returns the work of all instances, as far as this one knows.
     pub fn total_work(&self) -> Arc<Works> {
         self.shared
--- a/lib/src/control_answer.rs
+++ b/lib/src/control_answer.rs
@@ -41,6 +41,9 @@
 impl Core {
     async fn answer_poll(&self, mut request: PollRequest) -> PollResponse {
         let deadline = Instant::now() + POLL_HOLD;
+        let sightings = std::mem::take(&mut request.sightings);
+        let poller = &request.poll.poller.instance;
+        self.sightings.borrow_mut().add(poller, sightings);
         let mut usage = request.usage.take().map(|report| self.take_usage(report));
         loop {
             let news = self.news.notified();
@@ -110,6 +113,7 @@
             entries,
             members,
             work,
+            sightings: self.sightings.borrow_mut().news(&poll.poller.instance),
         }))))
     }
 
--- a/lib/src/control_core.rs
+++ b/lib/src/control_core.rs
@@ -41,6 +41,7 @@
 use crate::raft_message::MemberId;
 use crate::raft_message::Outgoing;
 use crate::rule_state::CommittedChange;
+use crate::sighting::SightingBoard;
 use crate::usage::UsageSender;
 use crate::view::Version;
 use crate::voter::Opened;
@@ -128,6 +129,8 @@
     pub(crate) pools: RefCell<Option<(u64, Pools)>>,
     /// Work of the instances that poll this one.
     pub(crate) works: RefCell<WorkSum>,
+    /// Prompt parts that the instances which poll this one sent to engines.
+    pub(crate) sightings: RefCell<SightingBoard>,
     seen: Cell<(bool, Version, Version, u64)>,
 }
 
@@ -167,6 +170,7 @@
             senders: RefCell::default(),
             pools: RefCell::default(),
             works: RefCell::default(),
+            sightings: RefCell::default(),
             seen: Cell::default(),
         })
     }
--- a/lib/src/control_shared.rs
+++ b/lib/src/control_shared.rs
@@ -31,6 +31,7 @@
 use crate::lease::Leases;
 use crate::quota::Shares;
 use crate::rule_state::CommittedChange;
+use crate::sighting::Sightings;
 use crate::state::State;
 use crate::usage::UsageCounter;
 use crate::view::Version;
@@ -81,6 +82,10 @@
     pub work: Mutex<Works>,
     /// Work that the callers of all instances ask of services, as far as this one knows.
     pub total: ShardedLock<Arc<Works>>,
+    /// Prompt parts that this instance sent to engines, for the next poll.
+    pub told: Sightings,
+    /// Prompt parts that other instances sent to engines.
+    pub heard: Sightings,
     /// Instances that serve callers; 0 until it is known.
     entries: AtomicU32,
     queue: Sender<Request>,
@@ -99,6 +104,8 @@
             status: Mutex::default(),
             work: Mutex::default(),
             total: ShardedLock::default(),
+            told: Sightings::default(),
+            heard: Sightings::default(),
             entries: AtomicU32::new(0),
             queue,
             wake: Notify::new(),
--- a/lib/src/control_thread.rs
+++ b/lib/src/control_thread.rs
@@ -349,6 +349,7 @@
         usage,
         demand: core.shared.shares.demand(sent),
         work: core.shared.work.lock().expect("work lock poisoned").clone(),
+        sightings: core.shared.told.take(),
     });
     let answer = tokio::select! {
         answer = link.poll(&request, POLL_TIMEOUT) => answer,
@@ -387,6 +388,7 @@
     core.shared.set_entries(news.entries);
     core.learn_members(&news.members);
     core.shared.set_total(news.work);
+    core.shared.heard.append(news.sightings);
     core.notify_news();
     if let Some(suspects) = &news.suspects {
         core.install_suspects(suspects);
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -11,6 +11,8 @@
 use derive_more::Error;
 use http::HeaderMap;
 use http::Method;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::command::Window;
 use crate::ids::EndpointId;
@@ -38,7 +40,7 @@
 }
 
 /// A part of a prompt that other requests may share.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptPart {
     /// Identity of the part.
     pub id: u64,
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -29,6 +29,8 @@
 use crate::ids::ZoneId;
 use crate::prompt_cache::PromptCache;
 use crate::route_table::EngineKind;
+use crate::sighting::NOTABLE_TOKENS;
+use crate::sighting::Sighting;
 use crate::work::LONG_PROMPT;
 use crate::work::Rate;
 use crate::work::Work;
@@ -275,6 +277,8 @@
     /// The most urgent request that was turned away lately, and when.
     turned: HashMap<ServiceId, (Instant, u8)>,
     places: HashMap<Ticket, EndpointId>,
+    /// Shared parts that were sent to engines which did not hold them.
+    sightings: Vec<Sighting>,
     next: u64,
 }
 
@@ -307,6 +311,7 @@
             flows: HashMap::new(),
             turned: HashMap::new(),
             places: HashMap::new(),
+            sightings: Vec::new(),
             next: 0,
         }
     }
@@ -554,9 +559,7 @@
         };
         flow.add(now, f64::from(choice.unread));
         let ticket = Ticket(self.next);
-        let engine = self.engines.get(&choice.listed.service);
-        let memory = engine.map_or(DEFAULT_MEMORY, |engine| engine.memory);
-        let limit = (memory as f64 * CACHE_SHARE) as u64;
+        let limit = self.cache_limit(&choice.listed.service);
         if let Some(endpoint) = self.endpoints.get_mut(&choice.listed.id) {
             endpoint.own.push(OwnCall {
                 ticket,
@@ -566,12 +569,47 @@
                 expected: choice.expected,
                 answered: false,
             });
+            let common = &parts[..parts.len().saturating_sub(1)];
+            let tokens = shared(parts);
+            if tokens >= NOTABLE_TOKENS && endpoint.cache.cached(common) < tokens {
+                self.sightings.push(Sighting {
+                    endpoint: endpoint.hash,
+                    parts: common.to_vec(),
+                });
+            }
             endpoint.cache.add(parts, limit);
             self.places.insert(ticket, choice.listed.id.clone());
         }
         ticket
     }
 
+    /// Returns how many tokens an engine of a service is taken to hold for later requests.
+    fn cache_limit(&self, service: &ServiceId) -> u64 {
+        let engine = self.engines.get(service);
+        let memory = engine.map_or(DEFAULT_MEMORY, |engine| engine.memory);
+        (memory as f64 * CACHE_SHARE) as u64
+    }
+
+    /// Takes the shared parts that were sent to engines since the last call, for other instances.
+    pub fn take_sightings(&mut self) -> Vec<Sighting> {
+        std::mem::take(&mut self.sightings)
+    }
+
+    /// Takes in which parts other instances sent to engines.
+    pub fn learn(&mut self, sightings: &[Sighting]) {
+        for sighting in sightings {
+            let mut endpoints = self.endpoints.values();
+            let Some(known) = endpoints.find(|e| e.hash == sighting.endpoint) else {
+                continue;
+            };
+            let limit = self.cache_limit(&known.listed.service);
+            let id = known.listed.id.clone();
+            if let Some(endpoint) = self.endpoints.get_mut(&id) {
+                endpoint.cache.add(&sighting.parts, limit);
+            }
+        }
+    }
+
     /// Records the first byte of an answer, and whether the endpoint ran the request for it.
     pub fn answered(&mut self, now: Instant, ticket: Ticket, load: Option<StatedLoad>, ran: bool) {
         let Some(endpoint) = self.places.get(&ticket) else {
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -268,7 +268,9 @@
         let now = self.now();
         let control = &self.forwarder.settings.control;
         let total = control.total_work().get(&self.service).copied();
+        let heard = control.heard();
         let mut fleet = self.forwarder.fleet();
+        fleet.learn(&heard);
         let mut want = Want {
             service: &self.service,
             prompt: self.ask.prompt,
@@ -301,6 +303,7 @@
         let choice = choice?;
         let ticket = fleet.start(now, &choice, &self.ask.parts);
         control.set_work(fleet.works(now));
+        control.tell(fleet.take_sightings());
         Ok((choice, ticket))
     }
 
--- a/lib/src/peer_message.rs
+++ b/lib/src/peer_message.rs
@@ -19,6 +19,7 @@
 use crate::raft_message::MemberId;
 use crate::raft_message::Message;
 use crate::rule_state::CommittedChange;
+use crate::sighting::Sighting;
 use crate::view::Version;
 use crate::work::Works;
 
@@ -37,6 +38,8 @@
     pub demand: Vec<DemandRow>,
     /// Work that the callers of this instance ask of services.
     pub work: Works,
+    /// Prompt parts that this instance sent to engines.
+    pub sightings: Vec<Sighting>,
 }
 
 /// Answer to a poll.
@@ -77,6 +80,8 @@
     pub members: Vec<String>,
     /// Work that the callers of all instances ask of services.
     pub work: Works,
+    /// Prompt parts that other instances sent to engines.
+    pub sightings: Vec<Sighting>,
 }
 
 /// Fingerprints of requests that were in flight at crashes.
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -218,6 +218,35 @@
     expect_that!(second.unread, eq(500));
 }
 
+/// A session that another instance served before: the engine that it used is known from that instance.
+#[gtest]
+fn learn_parts_of_other_instances() {
+    let names = ["a", "b", "c", "d"];
+    let (mut one, mut two) = (Fixture::new(&names), Fixture::new(&names));
+    let parts = [
+        PromptPart {
+            id: 7,
+            tokens: 5_000,
+        },
+        PromptPart { id: 8, tokens: 500 },
+    ];
+    let home = one.ask(5_500, &parts, &[]).expect("an endpoint");
+    let away = one.ask(5_500, &parts, std::slice::from_ref(&home.listed.id));
+    let away = away.expect("another endpoint");
+    let ticket = one.fleet.start(one.now, &away, &parts);
+    let sightings = one.fleet.take_sightings();
+    expect_that!(sightings.len(), eq(1));
+    one.fleet.end(one.now, ticket, CallEnd::Served);
+    one.fleet.start(one.now, &away, &parts);
+    // It was told already.
+    expect_that!(one.fleet.take_sightings(), is_empty());
+    two.fleet.set_engine(&two.service, engine(Some(400.0)));
+    two.fleet.learn(&sightings);
+    let choice = two.ask(5_500, &parts, &[]).expect("an endpoint");
+    let known = choice.listed.id == away.listed.id || choice.source == Some(away.listed.address);
+    expect_that!(known, eq(true));
+}
+
 /// Engines that cannot copy from each other, or prompts without shared parts, name no source.
 #[gtest]
 fn choose_without_source() {
