Report usage with each poll where entries are few

All machines lose power at 42.0 s, and entries had not reported what began in the last second; an entry has no disk.

Change: an entry reports with each poll (250 ms), and less often beyond 125 entries, so that all together stay at 500 reports/s, a tenth of what a group commits. The time that a leader waits for the commit of its own report is a constant of its own.

--- a/lib/src/control_thread.rs
+++ b/lib/src/control_thread.rs
@@ -57,12 +57,13 @@
 use crate::raft_member::Membership;
 use crate::raft_message::MemberId;
 use crate::storage::LogStore;
+use crate::usage;
 use crate::view::Edit;
 use crate::view::Version;
 use crate::voter::Opened;
 
-/// Interval between usage reports.
-pub const USAGE_PERIOD: Duration = Duration::from_secs(1);
+/// Time for which a report of the leader's own usage waits for its commit.
+const USAGE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Interval at which a secret file is read again.
 pub const SECRET_PERIOD: Duration = Duration::from_secs(2);
@@ -408,7 +409,8 @@
     now: Instant,
     reported: &mut Option<Instant>,
 ) -> Option<crate::command::UsageReport> {
-    if reported.is_some_and(|at| now < at + USAGE_PERIOD) {
+    let period = usage::report_period(core.shared.entries());
+    if reported.is_some_and(|at| now < at + period) {
         return None;
     }
     let mut usage = core.usage.borrow_mut();
@@ -424,7 +426,7 @@
     };
     let sequence = report.sequence;
     let command = Command::AddUsage(report);
-    let deadline = Instant::now() + USAGE_PERIOD;
+    let deadline = Instant::now() + USAGE_TIMEOUT;
     match core.submit_here(command, deadline).await {
         Ok(Reply::Done) => core.usage.borrow_mut().accepted(sequence),
         Ok(_) => core.usage.borrow_mut().refused(sequence),
--- a/lib/src/usage.rs
+++ b/lib/src/usage.rs
@@ -43,12 +43,24 @@
 /// How long the sequence number of a silent entry is kept, in milliseconds.
 pub const SEQUENCE_MS: u64 = 24 * 3_600_000;
 
+/// Shortest interval between the reports of an entry, that of its polls. What it has not reported is lost
+/// when its machine is.
+const REPORT_PERIOD: Duration = Duration::from_millis(250);
+
+/// Reports a second of all entries together, a tenth of what a group commits (`docs/CAPACITY.md`).
+const REPORT_RATE: f64 = 500.0;
+
 /// Interval after which an entry reports even if nothing was used, so that its number is kept.
 pub const IDLE_REPORT: Duration = Duration::from_secs(3_600);
 
 /// Time in seconds that open windows cover at most, so that short windows do not close early.
 const OPEN_SECONDS: u64 = MAX_OPEN as u64 * WINDOW_SECONDS;
 
+/// Returns the interval between the reports of an entry that is one of so many.
+pub fn report_period(entries: u32) -> Duration {
+    REPORT_PERIOD.max(Duration::from_secs_f64(f64::from(entries) / REPORT_RATE))
+}
+
 impl Default for UsageTerms {
     fn default() -> Self {
         Self {
