--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -628,7 +628,9 @@
 
 fn respond(status: u16, headers: HeaderMap, body: server::Body) -> Response {
     let mut response = http::Response::new(body);
-    *response.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
+    // An answer that was read has a valid number; anything else must not look like a success.
+    let status = http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::BAD_GATEWAY);
+    *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
 }
--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -201,6 +201,7 @@
                 id: &id,
             };
             let (place, copy) = copier.hand_over(flight.choice.listed.address).await;
+            forwarder.settings.metrics.moved(place);
             tracing::info!(
                 request = id,
                 from = %source.listed.id,
--- a/lib/src/traffic_metrics.rs
+++ b/lib/src/traffic_metrics.rs
@@ -11,6 +11,7 @@
 use prometheus::TextEncoder;
 
 use crate::code::ResultCode;
+use crate::hand_over::Place;
 use crate::ids::ServiceId;
 
 /// Upper bounds of the latency buckets in seconds, from the fastest service to the longest timeout.
@@ -22,6 +23,7 @@
     registry: Registry,
     served: IntCounterVec,
     refused: IntCounterVec,
+    moved: IntCounterVec,
     total: HistogramVec,
     first: HistogramVec,
 }
@@ -43,6 +45,10 @@
                 Opts::new("fulmarford_own_failures", "Own refusals and failures"),
                 &["code"],
             )?,
+            moved: IntCounterVec::new(
+                Opts::new("fulmarford_moved_runs", "Runs at engines that left"),
+                &["outcome"],
+            )?,
             total: latency(
                 "fulmarford_answer_seconds",
                 "Arrival to the end of an answer",
@@ -55,6 +61,7 @@
         metrics
             .registry
             .register(Box::new(metrics.refused.clone()))?;
+        metrics.registry.register(Box::new(metrics.moved.clone()))?;
         metrics.registry.register(Box::new(metrics.total.clone()))?;
         metrics.registry.register(Box::new(metrics.first.clone()))?;
         Ok(metrics)
@@ -80,6 +87,12 @@
         self.refused.with_label_values(&[code.as_str()]).inc();
     }
 
+    /// Counts a run whose engine left, by where it goes on.
+    pub fn moved(&self, place: Place) {
+        let place = place.to_string();
+        self.moved.with_label_values(&[place.as_str()]).inc();
+    }
+
     /// Returns all metrics as text.
     pub fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
