--- a/lib/src/cluster_control.rs
+++ b/lib/src/cluster_control.rs
@@ -143,6 +143,13 @@
             .clone()
     }
 
+    /// Returns the newest view, unless its lease ended more than `limit` ago.
+    pub fn view_within(&self, now: Instant, limit: Duration) -> Option<Arc<View>> {
+        let published = self.shared.published.read().expect("view lock poisoned");
+        let end = published.end?;
+        (now < end + limit).then(|| published.view.clone())?
+    }
+
     /// Returns the newest view, whether or not its lease has expired; not for serving callers.
     pub fn held_view(&self) -> Option<Arc<View>> {
         let published = self.shared.published.read().expect("view lock poisoned");
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -88,6 +88,8 @@
     pub fleet: Arc<Mutex<Fleet>>,
     /// Tells of changes of the list of endpoints.
     pub changes: watch::Receiver<()>,
+    /// Time for which a configuration is served without contact to the group.
+    pub stale_limit: Duration,
     /// Repeats that a service allows over all instances, as a part of its requests.
     pub retry_ratio: f64,
     /// Repeats over all instances beyond that part.
@@ -102,6 +104,8 @@
     table: RwLock<Option<(Arc<Document>, Arc<RouteTable>)>>,
     budgets: Mutex<std::collections::HashMap<ServiceId, RetryBudget>>,
     started: Instant,
+    /// Whether the configuration is too old to be served.
+    cut: AtomicBool,
     leaving: AtomicBool,
     open: AtomicUsize,
 }
@@ -119,14 +123,27 @@
             settings,
             table: RwLock::default(),
             budgets: Mutex::default(),
+            cut: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             open: AtomicUsize::new(0),
         })
     }
 
-    /// Returns the routes of the newest document, which is read when it has changed.
+    /// Returns the routes of the newest document, which is read when it has changed, unless the instance
+    /// has been without contact to the group for too long.
     pub fn table(&self) -> Option<Arc<RouteTable>> {
-        let view = self.settings.control.held_view()?;
+        let now = self.settings.clock.now();
+        let control = &self.settings.control;
+        let view = control.view_within(now, self.settings.stale_limit);
+        let is_cut = view.is_none() && control.held_view().is_some();
+        if self.cut.swap(is_cut, Ordering::Relaxed) != is_cut {
+            tracing::warn!(
+                limit_s = self.settings.stale_limit.as_secs_f64(),
+                is_cut,
+                "contact to the group, by the limit for the configuration"
+            );
+        }
+        let view = view?;
         let document = view.document()?;
         {
             let held = self.table.read().expect("table lock poisoned");
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -97,6 +97,8 @@
     pub retry_slack: f64,
     /// Time from the request to stop until the process is killed.
     pub grace: Duration,
+    /// Time for which a configuration is served without contact to the group.
+    pub stale_limit: Duration,
 }
 
 /// A running process.
@@ -167,6 +169,7 @@
             clock: clock.clone(),
             fleet: fleet.clone(),
             changes,
+            stale_limit: self.settings.stale_limit,
             retry_ratio: self.settings.retry_ratio,
             retry_slack: self.settings.retry_slack,
             metrics,
