Share the list of endpoints that the leader reads

Change: the leader reads the list once a second, which it did for the orders already, and tells all instances what changed since the revision that they hold, with the answers to their polls. An instance whose copy is older than 2.5 s reads the platform's list as before.

--- a/lib/src/cluster_control.rs
+++ b/lib/src/cluster_control.rs
@@ -26,6 +26,7 @@
 use crate::control_shared::Status;
 use crate::ids::WorkspaceId;
 use crate::rule_state::CommittedChange;
+use crate::shared_list::SharedList;
 use crate::sighting::Sighting;
 use crate::state::State;
 use crate::view::Version;
@@ -124,6 +125,11 @@
         *self.shared.work.lock().expect("work lock poisoned") = works;
     }
 
+    /// Returns the endpoint list that instances share.
+    pub fn list(&self) -> &SharedList {
+        &self.shared.list
+    }
+
     /// Tells the other instances which prompt parts engines were sent.
     pub fn tell(&self, sightings: Vec<Sighting>) {
         self.shared.told.append(sightings);
--- a/lib/src/control_answer.rs
+++ b/lib/src/control_answer.rs
@@ -113,6 +113,7 @@
             entries,
             members,
             work,
+            list: self.shared.list.news(now, request.list),
             sightings: self.sightings.borrow_mut().news(&poll.poller.instance),
         }))))
     }
--- a/lib/src/control_shared.rs
+++ b/lib/src/control_shared.rs
@@ -31,6 +31,7 @@
 use crate::lease::Leases;
 use crate::quota::Shares;
 use crate::rule_state::CommittedChange;
+use crate::shared_list::SharedList;
 use crate::sighting::Sightings;
 use crate::state::State;
 use crate::usage::UsageCounter;
@@ -82,6 +83,8 @@
     pub work: Mutex<Works>,
     /// Work that the callers of all instances ask of services, as far as this one knows.
     pub total: ShardedLock<Arc<Works>>,
+    /// The endpoint list.
+    pub list: SharedList,
     /// Prompt parts that this instance sent to engines, for the next poll.
     pub told: Sightings,
     /// Prompt parts that other instances sent to engines.
@@ -104,6 +107,7 @@
             status: Mutex::default(),
             work: Mutex::default(),
             total: ShardedLock::default(),
+            list: SharedList::default(),
             told: Sightings::default(),
             heard: Sightings::default(),
             entries: AtomicU32::new(0),
--- a/lib/src/control_thread.rs
+++ b/lib/src/control_thread.rs
@@ -351,6 +351,7 @@
         demand: core.shared.shares.demand(sent),
         work: core.shared.work.lock().expect("work lock poisoned").clone(),
         sightings: core.shared.told.take(),
+        list: core.shared.list.held(),
     });
     let answer = tokio::select! {
         answer = link.poll(&request, POLL_TIMEOUT) => answer,
@@ -390,6 +391,9 @@
     core.learn_members(&news.members);
     core.shared.set_total(news.work);
     core.shared.heard.append(news.sightings);
+    if let Some(list) = news.list {
+        core.shared.list.learn(sent, list);
+    }
     core.notify_news();
     if let Some(suspects) = &news.suspects {
         core.install_suspects(suspects);
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -137,7 +137,7 @@
 }
 
 /// An endpoint on the platform's list.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ListedEndpoint {
     /// Its name, which a restarted endpoint may keep.
     pub id: EndpointId,
--- a/lib/src/discovery.rs
+++ b/lib/src/discovery.rs
@@ -1,4 +1,4 @@
-//! Reads the platform's list of endpoints for this instance.
+//! Keeps the list of endpoints of this instance: the shared one, or else the platform's.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,6 +8,7 @@
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
+use std::time::Instant;
 
 use rand::Rng;
 use tokio::sync::watch;
@@ -19,11 +20,15 @@
 use crate::dialect::ListedEndpoint;
 use crate::fleet::Fleet;
 use crate::platform::Platform;
+use crate::shared_list::ListRevision;
 
 /// Shortest interval between two readings; a leaving endpoint is then known well before the
 /// platform's bound of some seconds.
 const PERIOD: Duration = Duration::from_millis(900);
 
+/// Interval at which the shared list is looked at, that of the polls that bring it.
+const SHARED_PERIOD: Duration = Duration::from_millis(250);
+
 /// Interval after a failed reading.
 const RETRY: Duration = Duration::from_millis(300);
 
@@ -82,26 +87,50 @@
 fn run(config: &Config, stopped: &AtomicBool) {
     let platform = Platform::new(config.platform, config.clock.clone());
     let mut available = true;
+    let mut held = ListRevision::default();
     while !stopped.load(Ordering::Relaxed) {
-        let pause = match read_list(config.dialect.as_ref(), &platform) {
-            Ok((list, pages)) => {
-                if !std::mem::replace(&mut available, true) {
-                    tracing::info!("the endpoint list can be read again");
+        let now = config.clock.now();
+        let pause = match config.control.list().fresh(now) {
+            Some((read, revision, list)) => {
+                if revision != held {
+                    held = revision;
+                    install(config, read, list);
                 }
-                install(config, list);
-                pause(config, pages)
+                let mut fleet = config.fleet.lock().expect("fleet lock poisoned");
+                fleet.confirm(read);
+                // Work fades although nobody asks.
+                config.control.set_work(fleet.works(now));
+                SHARED_PERIOD
             }
-            Err(error) => {
-                if std::mem::replace(&mut available, false) {
-                    tracing::warn!(%error, "cannot read the endpoint list");
-                }
-                RETRY
+            None => {
+                // What the others read after this counts as a change.
+                held = ListRevision::default();
+                read_own(config, &platform, &mut available)
             }
         };
         thread::park_timeout(pause.mul_f64(rand::rng().random_range(0.9..1.1)));
     }
 }
 
+/// Reads the platform's list, because no instance shares one; returns the pause until the next reading.
+fn read_own(config: &Config, platform: &Platform, available: &mut bool) -> Duration {
+    match read_list(config.dialect.as_ref(), platform) {
+        Ok((list, pages)) => {
+            if !std::mem::replace(available, true) {
+                tracing::info!("the endpoint list can be read again");
+            }
+            install(config, config.clock.now(), list);
+            pause(config, pages)
+        }
+        Err(error) => {
+            if std::mem::replace(available, false) {
+                tracing::warn!(%error, "cannot read the endpoint list");
+            }
+            RETRY
+        }
+    }
+}
+
 /// Returns the interval that keeps all instances together below the platform's rate.
 fn pause(config: &Config, pages: usize) -> Duration {
     let entries = f64::from(config.control.entries().max(1));
@@ -109,8 +138,7 @@
     PERIOD.max(Duration::from_secs_f64(least))
 }
 
-fn install(config: &Config, list: Vec<ListedEndpoint>) {
-    let now = config.clock.now();
+fn install(config: &Config, now: Instant, list: Vec<ListedEndpoint>) {
     let mut fleet = config.fleet.lock().expect("fleet lock poisoned");
     let changes = fleet.install(now, list);
     config.control.set_work(fleet.works(now));
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -363,6 +363,11 @@
         changes
     }
 
+    /// Records that the platform's list was the same at a later time.
+    pub fn confirm(&mut self, read: Instant) {
+        self.installed = Some(read);
+    }
+
     fn of(&self, service: &ServiceId) -> impl Iterator<Item = &Endpoint> {
         let ids = self.services.get(service).into_iter().flatten();
         ids.filter_map(|id| self.endpoints.get(id))
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -104,6 +104,7 @@
 pub mod scheduler;
 pub mod server;
 pub mod settings;
+pub mod shared_list;
 pub mod sighting;
 pub mod simple_control;
 pub mod simple_disk;
--- a/lib/src/peer_message.rs
+++ b/lib/src/peer_message.rs
@@ -19,6 +19,8 @@
 use crate::raft_message::MemberId;
 use crate::raft_message::Message;
 use crate::rule_state::CommittedChange;
+use crate::shared_list::ListNews;
+use crate::shared_list::ListRevision;
 use crate::sighting::Sighting;
 use crate::view::Version;
 use crate::work::Works;
@@ -40,6 +42,8 @@
     pub work: Works,
     /// Prompt parts that this instance sent to engines.
     pub sightings: Vec<Sighting>,
+    /// State of its copy of the endpoint list.
+    pub list: ListRevision,
 }
 
 /// Answer to a poll.
@@ -82,6 +86,8 @@
     pub work: Works,
     /// Prompt parts that other instances sent to engines.
     pub sightings: Vec<Sighting>,
+    /// Changes of the endpoint list, unless the answering instance knows none.
+    pub list: Option<ListNews>,
 }
 
 /// Fingerprints of requests that were in flight at crashes.
--- a/lib/src/site_duties.rs
+++ b/lib/src/site_duties.rs
@@ -16,6 +16,7 @@
 use crossbeam::channel::RecvTimeoutError;
 use crossbeam::channel::Sender;
 use crossbeam::channel::bounded;
+use rand::Rng;
 
 use crate::call_thread::CallThread;
 use crate::clock::Clock;
@@ -106,6 +107,7 @@
             orders: caller("orders")?,
             leases: Vec::new(),
             releases: Vec::new(),
+            epoch: rand::rng().random_range(1..u64::MAX),
             config,
         };
         let thread = thread::Builder::new()
@@ -193,6 +195,8 @@
     orders: ExclusiveCalls,
     leases: Vec<(LeaseKind, Instant, Answer)>,
     releases: Vec<Answer>,
+    /// Names this process among those that number changes of the endpoint list.
+    epoch: u64,
 }
 
 impl Runner {
@@ -206,6 +210,7 @@
             self.collect();
             if let Some(actions) = self.step() {
                 self.carry_out(actions);
+                self.read_list(self.config.clock.now());
                 if self.config.orders {
                     self.buy();
                 }
@@ -241,7 +246,6 @@
         if self.buyer.pending > 0 {
             return;
         }
-        self.read_list(now);
         let Some((_, list)) = &self.buyer.listed else {
             return;
         };
@@ -280,7 +284,10 @@
             return;
         }
         match discovery::read_list(self.config.dialect.as_ref(), &self.buyer.platform) {
-            Ok((list, _)) => self.buyer.listed = Some((now, list)),
+            Ok((list, _)) => {
+                self.config.control.list().publish(now, self.epoch, &list);
+                self.buyer.listed = Some((now, list));
+            }
             Err(error) => {
                 // An old list would lead to orders for a stock that is not there.
                 tracing::warn!(%error, "orders nothing without the endpoint list");
--- /dev/null
+++ b/lib/tests/test_shared_list.rs
@@ -0,0 +1,113 @@
+//! Tests of the list of endpoints that instances share.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use fulmarford_lib::dialect::ListedEndpoint;
+use fulmarford_lib::shared_list::ListRevision;
+use fulmarford_lib::shared_list::SharedList;
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+fn listed(number: u8, leaving: bool) -> ListedEndpoint {
+    ListedEndpoint {
+        id: format!("i-{number}").into(),
+        service: "llm".into(),
+        address: ([127, 0, 0, 1], u16::from(number)).into(),
+        zone: "z".into(),
+        slots: 8,
+        leaving,
+        reclaimable: false,
+    }
+}
+
+fn names(list: &SharedList, now: Instant) -> Option<Vec<String>> {
+    let (_, _, list) = list.fresh(now)?;
+    Some(list.iter().map(|listed| listed.id.to_string()).collect())
+}
+
+#[gtest]
+fn news_changes_only() {
+    let now = Instant::now();
+    let (leader, entry) = (SharedList::default(), SharedList::default());
+    expect_that!(leader.news(now, entry.held()), none());
+    leader.publish(now, 1, &[listed(1, false), listed(2, false)]);
+    let news = leader.news(now, entry.held()).expect("news");
+    expect_that!((news.whole, news.changed.len()), eq((true, 2)));
+    entry.learn(now, news);
+    leader.publish(now, 1, &[listed(2, true), listed(3, false)]);
+    let news = leader.news(now, entry.held()).expect("news");
+    expect_that!((news.whole, news.changed.len()), eq((false, 2)));
+    expect_that!(news.gone, elements_are![eq(&"i-1".into())]);
+    entry.learn(now, news);
+    let expected = vec!["i-2".to_owned(), "i-3".to_owned()];
+    expect_that!(names(&entry, now), some(eq(&expected)));
+    // Nothing changed, but the list is known to be newer.
+    let later = now + Duration::from_secs(2);
+    leader.publish(later, 1, &[listed(2, true), listed(3, false)]);
+    let news = leader.news(later, entry.held()).expect("news");
+    expect_that!((news.changed.len(), news.gone.len()), eq((0, 0)));
+    entry.learn(later, news);
+    let much_later = later + Duration::from_secs(2);
+    expect_that!(names(&entry, much_later), some(eq(&expected)));
+}
+
+/// The leader is lost or cut off from the platform: instances notice and read the list themselves.
+#[gtest]
+fn fresh_for_some_seconds() {
+    let now = Instant::now();
+    let (leader, entry) = (SharedList::default(), SharedList::default());
+    leader.publish(now, 1, &[listed(1, false)]);
+    let second = Duration::from_secs(1);
+    let news = leader.news(now + second, entry.held()).expect("news");
+    entry.learn(now + second, news);
+    expect_that!(names(&entry, now + 2 * second), some(anything()));
+    expect_that!(names(&entry, now + 3 * second), none());
+    expect_that!(leader.news(now + 3 * second, entry.held()), none());
+}
+
+/// Another leader numbers its changes on its own.
+#[gtest]
+fn news_of_other_leader_whole() {
+    let now = Instant::now();
+    let entry = SharedList::default();
+    for epoch in 1..=2 {
+        let leader = SharedList::default();
+        leader.publish(now, epoch, &[listed(epoch as u8, false)]);
+        let news = leader.news(now, entry.held()).expect("news");
+        expect_that!(news.whole, eq(true));
+        entry.learn(now, news);
+    }
+    expect_that!(names(&entry, now), some(eq(&vec!["i-2".to_owned()])));
+    expect_that!(
+        entry.held(),
+        eq(ListRevision {
+            epoch: 2,
+            number: 1
+        })
+    );
+}
+
+proptest! {
+    /// Whatever is listed, and whichever answers are lost, a copy that learned is the list.
+    #[test]
+    fn learn_any_changes(
+        steps in proptest::collection::vec((proptest::collection::btree_map(0..40_u8, any::<bool>(), 0..20), any::<bool>()), 1..80)
+    ) {
+        let now = Instant::now();
+        let (leader, entry) = (SharedList::default(), SharedList::default());
+        for (list, lost) in steps {
+            let list: Vec<_> = list.into_iter().map(|(n, leaving)| listed(n, leaving)).collect();
+            leader.publish(now, 1, &list);
+            let news = leader.news(now, entry.held()).expect("news");
+            if !lost {
+                entry.learn(now, news);
+                let (_, _, mut held) = entry.fresh(now).expect("fresh");
+                let mut list = list;
+                held.sort_by(|a, b| a.id.as_str().cmp(b.id.as_str()));
+                list.sort_by(|a, b| a.id.as_str().cmp(b.id.as_str()));
+                prop_assert_eq!(held, list);
+            }
+        }
+    }
+}
