--- a/cli/tests/test_daemon.rs
+++ b/cli/tests/test_daemon.rs
@@ -208,6 +208,19 @@
     }
 }
 
+impl Cluster {
+    /// Prints the ends of all logs, which explain a failure.
+    fn print_logs(&self) {
+        for index in 0..INSTANCES {
+            let log = self.folder.path().join(format!("log{index}"));
+            let text = fs::read_to_string(log).unwrap_or_default();
+            let lines: Vec<_> = text.lines().collect();
+            let last = &lines[lines.len().saturating_sub(12)..];
+            eprintln!("--- i{index}\n{}", last.join("\n"));
+        }
+    }
+}
+
 impl Drop for Cluster {
     fn drop(&mut self) {
         for (index, child) in self.children.iter_mut().enumerate() {
@@ -220,13 +233,7 @@
             let _ = child.wait();
         }
         if thread::panicking() {
-            for index in 0..INSTANCES {
-                let log = self.folder.path().join(format!("log{index}"));
-                let text = fs::read_to_string(log).unwrap_or_default();
-                let lines: Vec<_> = text.lines().collect();
-                let last = &lines[lines.len().saturating_sub(12)..];
-                eprintln!("--- i{index}\n{}", last.join("\n"));
-            }
+            self.print_logs();
         }
     }
 }
@@ -520,6 +527,9 @@
         expect_that!(took, lt(BOUND));
         thread::sleep(Duration::from_secs(1));
         let (served, failed) = traffic.stop();
+        if failed > 0 {
+            cluster.print_logs();
+        }
         expect_that!(failed, eq(0));
         expect_that!(served, gt(100));
         cluster.launch(leader);
