--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -101,6 +101,12 @@
     }
 }
 
+/// A prompt with a shared part of 5,000 tokens.
+fn session() -> [PromptPart; 2] {
+    let part = |id, tokens| PromptPart { id, tokens };
+    [part(7, 5_000), part(8, 500)]
+}
+
 fn name(choice: &Choice) -> &str {
     choice.listed.id.as_str()
 }
@@ -174,13 +180,7 @@
 #[gtest]
 fn choose_known_part_costs_less() {
     let mut f = Fixture::new(&["a", "b"]);
-    let parts = [
-        PromptPart {
-            id: 7,
-            tokens: 5_000,
-        },
-        PromptPart { id: 8, tokens: 500 },
-    ];
+    let parts = session();
     let first = f.ask(5_500, &parts, &[]).expect("an endpoint");
     let ticket = f.fleet.start(f.now, &first, &parts);
     f.fleet.end(f.now, ticket, CallEnd::Served);
@@ -194,13 +194,7 @@
 fn choose_copies_known_part() {
     let mut f = Fixture::new(&["a", "b", "c"]);
     f.fleet.set_engine(&f.service, engine(Some(400.0)));
-    let parts = [
-        PromptPart {
-            id: 7,
-            tokens: 5_000,
-        },
-        PromptPart { id: 8, tokens: 500 },
-    ];
+    let parts = session();
     let first = f.ask(5_500, &parts, &[]).expect("an endpoint");
     let ticket = f.fleet.start(f.now, &first, &parts);
     f.fleet.end(f.now, ticket, CallEnd::Served);
@@ -223,13 +217,7 @@
 fn learn_parts_of_other_instances() {
     let names = ["a", "b", "c", "d"];
     let (mut one, mut two) = (Fixture::new(&names), Fixture::new(&names));
-    let parts = [
-        PromptPart {
-            id: 7,
-            tokens: 5_000,
-        },
-        PromptPart { id: 8, tokens: 500 },
-    ];
+    let parts = session();
     let home = one.ask(5_500, &parts, &[]).expect("an endpoint");
     let away = one.ask(5_500, &parts, std::slice::from_ref(&home.listed.id));
     let away = away.expect("another endpoint");
@@ -251,13 +239,7 @@
 #[gtest]
 fn choose_without_source() {
     let mut f = Fixture::new(&["a", "b"]);
-    let parts = [
-        PromptPart {
-            id: 7,
-            tokens: 5_000,
-        },
-        PromptPart { id: 8, tokens: 500 },
-    ];
+    let parts = session();
     let choice = f.ask(5_500, &parts, &[]).expect("an endpoint");
     expect_that!(choice.source, none());
     f.fleet.set_engine(&f.service, engine(None));
--- a/lib/tests/test_stock.rs
+++ b/lib/tests/test_stock.rs
@@ -35,6 +35,15 @@
     }
 }
 
+fn work(long: f64, short: f64) -> Work {
+    Work {
+        long,
+        short,
+        calls: if long > 0.0 { 20.0 } else { 0.0 },
+        rate: 60.0,
+    }
+}
+
 /// A platform that carries every order out at once.
 struct Fixture {
     stock: Stock,
@@ -74,12 +83,7 @@
 
     fn step(&mut self, long: f64, short: f64) {
         self.now += Duration::from_secs(1);
-        let work = Work {
-            long,
-            short,
-            calls: if long > 0.0 { 20.0 } else { 0.0 },
-            rate: 60.0,
-        };
+        let work = work(long, short);
         let list = self.list();
         let orders = self.stock.plan(self.now, &self.service, &work, &list);
         for order in &orders {
@@ -131,12 +135,7 @@
     let mut f = Fixture::new(Some(0.2));
     f.held = ZONES.map(|zone| ((zone.to_owned(), false), 4)).into();
     let list = f.list();
-    let work = Work {
-        long: 120_000.0,
-        short: 20_000.0,
-        calls: 20.0,
-        rate: 60.0,
-    };
+    let work = work(120_000.0, 20_000.0);
     for second in 0..30 {
         let now = f.now + Duration::from_secs(second);
         for order in f.stock.plan(now, &f.service, &work, &list) {
@@ -232,12 +231,7 @@
     for listed in &mut list {
         listed.leaving = listed.zone == "y".into() && listed.reclaimable;
     }
-    let work = Work {
-        long: 200_000.0,
-        short: 40_000.0,
-        calls: 20.0,
-        rate: 60.0,
-    };
+    let work = work(200_000.0, 40_000.0);
     f.now += Duration::from_secs(1);
     let orders = f.stock.plan(f.now, &f.service, &work, &list);
     let is_other = |order: &&EndpointOrder| order.zone == "y".into() && !order.reclaimable;
@@ -266,12 +260,7 @@
     let mut successor = Stock::new(f.now);
     f.run(20, 60_000.0, 10_000.0);
     let before = f.total();
-    let work = Work {
-        long: 120_000.0,
-        short: 20_000.0,
-        calls: 20.0,
-        rate: 60.0,
-    };
+    let work = work(120_000.0, 20_000.0);
     for _ in 0..7 {
         f.now += Duration::from_secs(1);
         successor.observe(f.now, &f.service, &work);
@@ -348,12 +337,7 @@
     f.held = ZONES.map(|zone| ((zone.to_owned(), false), 3)).into();
     let list = f.list();
     f.orders.clear();
-    let work = Work {
-        long: 60_000.0,
-        short: 10_000.0,
-        calls: 20.0,
-        rate: 60.0,
-    };
+    let work = work(60_000.0, 10_000.0);
     let mut sent = Vec::new();
     for second in 0..12 {
         let now = f.now + Duration::from_secs(second);
