Split the knowledge of an endpoint and the sources of prompt parts from the fleet

A reader also met weights without a name, a guard that was built in two places, a refusal to move a run and a missing outcome without a log line, and a map of instances without a bound.

The weights of failures are named. Flight has one constructor. The two cases are logged. The board of sightings forgets instances that it would tell everything anyway.

No decision changes; the tests of the fleet pass as they were.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -20,14 +20,17 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::affinity;
 use crate::dialect::ListedEndpoint;
 use crate::dialect::PromptPart;
 use crate::dialect::StatedLoad;
+use crate::fleet_endpoint::Endpoint;
+use crate::fleet_endpoint::OwnCall;
 use crate::ids::EndpointId;
 use crate::ids::ServiceId;
 use crate::ids::ZoneId;
-use crate::prompt_cache::PromptCache;
+use crate::prompt_source::Holders;
+use crate::prompt_source::likely;
+use crate::prompt_source::shared;
 use crate::route_table::EngineKind;
 use crate::sighting::NOTABLE_TOKENS;
 use crate::sighting::Sighting;
@@ -36,6 +39,8 @@
 use crate::work::Work;
 use crate::work::Works;
 
+pub use crate::fleet_endpoint::CallEnd;
+
 /// Prompt tokens that an engine reads in a millisecond, until it was observed; a usual figure for
 /// large models.
 const READ_RATE: f64 = 50.0;
@@ -58,42 +63,6 @@
 /// requests dominate.
 const OBSERVED_TOKENS: u32 = 2_000;
 
-/// Delay in milliseconds that a full endpoint adds to a request; it grows with the square of the use,
-/// since an engine with many requests is mostly one that reads all the time.
-const FULL_DELAY: f64 = 400.0;
-
-/// Delay in milliseconds of each request that waits for a slot.
-const WAITING_DELAY: f64 = 25.0;
-
-/// Disadvantage in milliseconds of an endpoint in another zone, for the distance both ways and the
-/// price of bytes between zones.
-const ZONE_DELAY: f64 = 6.0;
-
-/// Delay in milliseconds that a recent failure counts for.
-const FAILURE_DELAY: f64 = 1_500.0;
-
-/// Time in which the memory of a failure halves.
-const FAILURE_FADES: Duration = Duration::from_secs(2);
-
-/// Time for which a closed connection counts as a sign that an endpoint leaves; the list tells it
-/// by then.
-const LEAVING_FADES: Duration = Duration::from_millis(1_500);
-
-/// Delay in milliseconds that one closed connection counts for.
-const CLOSING_DELAY: f64 = 150.0;
-
-/// Delay in milliseconds that several closed connections count for.
-const LEAVING_DELAY: f64 = 3_000.0;
-
-/// Time without a first byte after which an endpoint counts as silent, at least.
-const SILENT: Duration = Duration::from_millis(800);
-
-/// Times the expected delay after which an endpoint counts as silent.
-const SILENT_FACTOR: f64 = 3.0;
-
-/// Delay in milliseconds that a silent endpoint counts for.
-const SILENT_DELAY: f64 = 8_000.0;
-
 /// Disadvantage in milliseconds of an engine that reads long prompts, for a short request: each
 /// chunk that the engine reads delays all events there.
 const READER_DELAY: f64 = 250.0;
@@ -107,9 +76,6 @@
 /// Time for which long requests give way after a more urgent one was turned away.
 const YIELD_TIME: Duration = Duration::from_secs(1);
 
-/// Part of a shared prompt that its home is taken to hold.
-const HOME_HELD: f64 = 0.8;
-
 /// Times the reading time of a shared part that reading it again counts for besides, since it costs
 /// the other requests of the engine as much.
 const AGAIN_WEIGHT: f64 = 2.0;
@@ -132,9 +98,6 @@
 /// token of its other requests takes a whole chunk's time, so half of the time must be left for them.
 const READER_USE: f64 = 0.35;
 
-/// Age from which a stated load says nothing.
-const STALE: Duration = Duration::from_secs(2);
-
 /// Part of an engine's memory that is taken to hold shared prompts.
 const CACHE_SHARE: f64 = 0.5;
 
@@ -197,72 +160,10 @@
     Full,
 }
 
-/// How a call ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CallEnd {
-    /// The whole answer came.
-    Served,
-    /// The endpoint refused and did not run it.
-    Refused,
-    /// The endpoint answered with an error of its own.
-    Failed,
-    /// The connection broke, or the answer was not one.
-    Broken,
-    /// No connection was made.
-    Unreachable,
-    /// Another endpoint has the address.
-    Replaced,
-    /// The caller left or its time ran out.
-    Cancelled,
-}
-
-impl CallEnd {
-    /// Returns the name that logs show.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Served => "served",
-            Self::Refused => "refused",
-            Self::Failed => "failed",
-            Self::Broken => "broken",
-            Self::Unreachable => "unreachable",
-            Self::Replaced => "replaced",
-            Self::Cancelled => "cancelled",
-        }
-    }
-}
-
 /// A call at an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Ticket(u64);
 
-#[derive(Debug)]
-struct OwnCall {
-    ticket: Ticket,
-    since: Instant,
-    unread: u32,
-    /// Unread tokens that no other request shares.
-    certain: u32,
-    expected: Duration,
-    answered: bool,
-}
-
-#[derive(Debug)]
-struct Endpoint {
-    listed: ListedEndpoint,
-    hash: u64,
-    own: Vec<OwnCall>,
-    /// Stated load, when it arrived, and the own calls at that time.
-    load: Option<(StatedLoad, Instant, usize)>,
-    /// Weight of failures at the time of the newest one.
-    failures: f64,
-    failed: Instant,
-    /// Recent answers after which it closed the connection.
-    closed: Vec<Instant>,
-    /// Cannot be used until the list names it again.
-    gone: bool,
-    cache: PromptCache,
-}
-
 /// What this instance knows about all endpoints.
 #[derive(Debug)]
 pub struct Fleet {
@@ -368,7 +269,7 @@
         self.installed = Some(read);
     }
 
-    fn of(&self, service: &ServiceId) -> impl Iterator<Item = &Endpoint> {
+    fn of(&self, service: &ServiceId) -> impl Iterator<Item = &Endpoint> + Clone {
         let ids = self.services.get(service).into_iter().flatten();
         ids.filter_map(|id| self.endpoints.get(id))
     }
@@ -385,7 +286,8 @@
         let readers = self.readers(want, rate);
         let is_long = want.prompt >= LONG_PROMPT;
         let suits = |e: &Endpoint| readers.is_empty() || is_long == readers.contains(&e.hash);
-        let holders = self.holders(want, suits);
+        let copied = self.engines.get(want.service).and_then(|e| e.copied);
+        let holders = Holders::find(want.parts, copied, self.of(want.service), suits);
         let mut best: Option<(f64, &Endpoint, u32, Option<SocketAddr>)> = None;
         for endpoint in self.of(want.service).filter(|e| e.is_usable()) {
             if want.excluded.contains(&endpoint.listed.id) {
@@ -517,39 +419,6 @@
         self.flows.iter().map(work).collect()
     }
 
-    /// Returns where the shared parts of a prompt are taken to be.
-    ///
-    /// Each instance sees a session too rarely to know from its own requests where it is held, so the
-    /// endpoint that wins the hash is its home on all of them. The runner-up was the home before the
-    /// winner came, and likely still holds the parts.
-    fn holders(&self, want: &Want<'_>, suits: impl Fn(&Endpoint) -> bool) -> Holders {
-        let mut holders = Holders::default();
-        let shared_parts = &want.parts[..want.parts.len().saturating_sub(1)];
-        let Some(part) = shared_parts.last() else {
-            return holders;
-        };
-        let usable = self.of(want.service).filter(|e| e.is_usable());
-        let mut homes: Vec<&Endpoint> = usable.filter(|e| suits(e)).collect();
-        affinity::rank(part.id, &mut homes, |endpoint| endpoint.hash);
-        homes.truncate(2);
-        holders.home = homes.first().map(|endpoint| endpoint.hash);
-        let engine = self.engines.get(want.service);
-        let Some(rate) = engine.and_then(|engine| engine.copied) else {
-            return holders;
-        };
-        holders.rate = rate;
-        // An endpoint that leaves can still be copied from.
-        let others = self.of(want.service).filter(|e| !e.gone);
-        let mut sources: Vec<Source> = others
-            .map(|endpoint| Source::new(endpoint, endpoint.cache.cached(shared_parts)))
-            .filter(|source| source.tokens > 0)
-            .collect();
-        let guessed = homes.iter();
-        sources.extend(guessed.map(|endpoint| Source::new(endpoint, likely(want.parts))));
-        holders.sources = sources;
-        holders
-    }
-
     /// Records a call that is about to be sent.
     pub fn start(&mut self, now: Instant, choice: &Choice, parts: &[PromptPart]) -> Ticket {
         self.next += 1;
@@ -658,10 +527,7 @@
     pub fn closes(&mut self, now: Instant, ticket: Ticket) {
         let endpoint = self.places.get(&ticket);
         if let Some(endpoint) = endpoint.and_then(|id| self.endpoints.get_mut(id)) {
-            endpoint
-                .closed
-                .retain(|at| now.saturating_duration_since(*at) < LEAVING_FADES);
-            endpoint.closed.push(now);
+            endpoint.note_close(now);
         }
     }
 
@@ -674,19 +540,7 @@
             return;
         };
         endpoint.own.retain(|call| call.ticket != ticket);
-        match end {
-            CallEnd::Served => endpoint.failures = endpoint.recent_failures(now) * 0.5,
-            CallEnd::Cancelled => return,
-            CallEnd::Replaced => endpoint.gone = true,
-            CallEnd::Refused => endpoint.fail(now, 0.3),
-            CallEnd::Failed => endpoint.fail(now, 0.5),
-            CallEnd::Broken | CallEnd::Unreachable => {
-                // A crashed engine holds nothing any more.
-                endpoint.cache = PromptCache::default();
-                endpoint.fail(now, 1.0);
-            }
-        }
-        endpoint.failed = now;
+        endpoint.end(now, end);
     }
 }
 
@@ -710,140 +564,3 @@
         }
     }
 }
-
-/// Where shared parts of a prompt are taken to be.
-#[derive(Debug, Default)]
-struct Holders {
-    /// The endpoint, by its hash, where they belong.
-    home: Option<u64>,
-    /// Tokens that are copied between engines in a millisecond.
-    rate: f64,
-    /// Endpoints to copy from: known ones first, then guessed ones.
-    sources: Vec<Source>,
-}
-
-/// An engine from which parts can be copied.
-#[derive(Clone, Copy, Debug)]
-struct Source {
-    hash: u64,
-    address: SocketAddr,
-    /// Tokens that it is taken to hold.
-    tokens: u32,
-}
-
-impl Source {
-    fn new(endpoint: &Endpoint, tokens: u32) -> Self {
-        Self {
-            hash: endpoint.hash,
-            address: endpoint.listed.address,
-            tokens,
-        }
-    }
-}
-
-impl Holders {
-    /// Returns the best source for an endpoint that is known to hold some tokens itself.
-    fn source(&self, endpoint: &Endpoint, held: u32) -> Option<&Source> {
-        let others = self.sources.iter().filter(|s| s.hash != endpoint.hash);
-        // The first of equal ones is a known one.
-        others
-            .filter(|s| s.tokens > held)
-            .reduce(|best, s| if s.tokens > best.tokens { s } else { best })
-    }
-}
-
-/// Returns the tokens that the home of a prompt's shared parts is taken to hold.
-fn likely(parts: &[PromptPart]) -> u32 {
-    (f64::from(shared(parts)) * HOME_HELD) as u32
-}
-
-/// Returns the tokens of the parts that other requests may share.
-fn shared(parts: &[PromptPart]) -> u32 {
-    let count = parts.len().saturating_sub(1);
-    parts[..count].iter().map(|part| part.tokens).sum()
-}
-
-impl Endpoint {
-    fn new(now: Instant, listed: ListedEndpoint) -> Self {
-        Self {
-            hash: affinity::hash_name(listed.id.as_str()),
-            listed,
-            own: Vec::new(),
-            load: None,
-            failures: 0.0,
-            failed: now,
-            closed: Vec::new(),
-            gone: false,
-            cache: PromptCache::default(),
-        }
-    }
-
-    fn is_usable(&self) -> bool {
-        !self.listed.leaving && !self.gone
-    }
-
-    fn unread(&self) -> u64 {
-        let waiting = self.own.iter().filter(|call| !call.answered);
-        waiting.map(|call| u64::from(call.unread)).sum()
-    }
-
-    fn recent_failures(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.failed).as_secs_f64();
-        self.failures * 0.5_f64.powf(age / FAILURE_FADES.as_secs_f64())
-    }
-
-    fn fail(&mut self, now: Instant, weight: f64) {
-        self.failures = (self.recent_failures(now) + weight).min(4.0);
-    }
-
-    fn is_silent(&self, now: Instant) -> bool {
-        self.own.iter().any(|call| {
-            let limit = call.expected.mul_f64(SILENT_FACTOR).max(SILENT);
-            !call.answered && now.saturating_duration_since(call.since) > limit
-        })
-    }
-
-    /// Tells whether the expected delay is a guess from failures rather than from load.
-    fn is_doubtful(&self, now: Instant) -> bool {
-        self.is_silent(now) || self.recent_failures(now) > 0.1
-    }
-
-    /// Returns how many requests it is taken to run and to queue.
-    fn busy(&self, now: Instant) -> (f64, f64) {
-        let own = self.own.len() as f64;
-        let (running, waiting) = match self.load {
-            Some((load, at, then)) if now.saturating_duration_since(at) < STALE => {
-                let since = own - then as f64;
-                let running = f64::from(load.running) + since;
-                (running.max(own), f64::from(load.waiting))
-            }
-            _ => (own, 0.0),
-        };
-        let slots = f64::from(self.listed.slots.max(1));
-        (running.min(slots), waiting + (running - slots).max(0.0))
-    }
-
-    /// Returns the expected time to the first byte in milliseconds.
-    fn delay(&self, now: Instant, unread: u32, rate: f64, zone: &ZoneId) -> f64 {
-        let (running, waiting) = self.busy(now);
-        let tokens = self.unread() as f64 + f64::from(unread);
-        let use_share = running / f64::from(self.listed.slots.max(1));
-        let mut delay =
-            tokens / rate + FULL_DELAY * use_share * use_share + WAITING_DELAY * waiting;
-        if self.listed.zone != *zone {
-            delay += ZONE_DELAY;
-        }
-        delay += FAILURE_DELAY * self.recent_failures(now);
-        let recent = |at: &&Instant| now.saturating_duration_since(**at) < LEAVING_FADES;
-        delay += match self.closed.iter().filter(recent).count() {
-            0 => 0.0,
-            // A single one happens at sound endpoints, too.
-            1 => CLOSING_DELAY,
-            _ => LEAVING_DELAY,
-        };
-        if self.is_silent(now) {
-            delay += SILENT_DELAY;
-        }
-        delay
-    }
-}
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -160,19 +160,24 @@
 }
 
 impl Flight {
-    /// Records a run that goes on at an endpoint.
-    pub(crate) fn start(forwarder: &Arc<Forwarder>, choice: Choice) -> Self {
-        let now = forwarder.settings.clock.now();
-        let ticket = forwarder.fleet().start(now, &choice, &[]);
+    /// Creates the guard of a call that is about to be sent.
+    pub(crate) fn new(forwarder: &Arc<Forwarder>, choice: Choice, ticket: Ticket) -> Self {
         Self {
             forwarder: forwarder.clone(),
             ticket,
             choice,
-            sent: now,
+            sent: forwarder.settings.clock.now(),
             ended: false,
         }
     }
 
+    /// Records a run that goes on at an endpoint.
+    pub(crate) fn start(forwarder: &Arc<Forwarder>, choice: Choice) -> Self {
+        let now = forwarder.settings.clock.now();
+        let ticket = forwarder.fleet().start(now, &choice, &[]);
+        Self::new(forwarder, choice, ticket)
+    }
+
     pub(crate) fn end(&mut self, end: CallEnd) {
         if !std::mem::replace(&mut self.ended, true) {
             let now = self.forwarder.settings.clock.now();
@@ -336,18 +341,7 @@
                 retry: Some(retry.mul_f64(jitter)),
             }
         });
-        placed.map(|(choice, ticket)| self.flight(choice, ticket))
-    }
-
-    /// Returns the guard of a call that is about to be sent.
-    pub(crate) fn flight(&self, choice: Choice, ticket: Ticket) -> Flight {
-        Flight {
-            forwarder: self.forwarder.clone(),
-            ticket,
-            choice,
-            sent: self.now(),
-            ended: false,
-        }
+        placed.map(|(choice, ticket)| Flight::new(&self.forwarder, choice, ticket))
     }
 
     /// Sends the request to an endpoint and waits for the first part of the answer.
@@ -538,7 +532,7 @@
             mut flight,
             first,
         } = started;
-        let (status, headers) = (answer.status, passed(&answer.headers));
+        let (status, headers) = (answer.status, forwarded(&answer.headers));
         let mut held = first.map_or_else(Vec::new, Vec::from);
         let left = self.left();
         let whole = timeout(left, async {
@@ -586,7 +580,7 @@
     /// Passes a long answer on piece by piece.
     fn stream(self, started: Started) -> Response {
         let status = started.answer.status;
-        let headers = passed(&started.answer.headers);
+        let headers = forwarded(&started.answer.headers);
         let (sender, body) = answer::channel();
         tokio::spawn(self.relay(started, sender));
         respond(status, headers, body)
@@ -622,10 +616,6 @@
     }
 }
 
-fn passed(headers: &HeaderMap) -> HeaderMap {
-    forwarded(headers)
-}
-
 fn respond(status: u16, headers: HeaderMap, body: server::Body) -> Response {
     let mut response = http::Response::new(body);
     // An answer that was read has a valid number; anything else must not look like a success.
--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -27,6 +27,7 @@
 use crate::hand_over::Copier;
 use crate::hand_over::Place;
 use crate::route_table::Repeat;
+use crate::work::Work;
 
 /// Time for which a stream that ended waits for the outcome of its copy, which arrives on another
 /// connection.
@@ -142,10 +143,12 @@
                 continue;
             }
             if moving.is_some() {
+                let outcome = timeout(OUTCOME_LIMIT, wait(&mut moving)).await;
                 // Without an outcome in time the run is taken not to have been stopped.
-                moved = timeout(OUTCOME_LIMIT, wait(&mut moving))
-                    .await
-                    .unwrap_or(None);
+                moved = outcome.unwrap_or_else(|_| {
+                    tracing::info!(request = self.ask.id, "no outcome of a move in time");
+                    None
+                });
             }
             if let Some(moved) = moved {
                 return RelayEnd::Moved(Box::new(moved));
@@ -178,18 +181,28 @@
             parts: &[],
             excluded: &excluded,
             left: self.left(),
-            total: Default::default(),
+            // A run that goes on reads no prompt, so the division of engines by prompts does not concern it.
+            total: Work::default(),
             urgency: self.rank,
             draw: 1.0,
         };
         let flight = {
             let mut fleet = forwarder.fleet();
-            let mut choice = fleet.choose(now, &want).ok()?;
+            let mut choice = fleet
+                .choose(now, &want)
+                .inspect_err(|reason| {
+                    tracing::info!(
+                        request = self.ask.id,
+                        ?reason,
+                        "no endpoint to move a run to"
+                    );
+                })
+                .ok()?;
             // The copy holds what the run has read.
             (choice.unread, choice.own, choice.source) = (0, 0, None);
             let ticket = fleet.start(now, &choice, &self.ask.parts);
             drop(fleet);
-            self.flight(choice, ticket)
+            Flight::new(&forwarder, choice, ticket)
         };
         let (client, id) = (self.client.clone(), self.ask.id.clone());
         Some(Box::pin(async move {
--- a/lib/src/sighting.rs
+++ b/lib/src/sighting.rs
@@ -77,6 +77,9 @@
             self.kept.pop_front();
             self.first += 1;
         }
+        // Whoever is not remembered here is told from the first one on, as these would be.
+        let first = self.first;
+        self.told.retain(|_, next| *next > first);
     }
 
     /// Returns the newest that the others told since this instance asked last.
