Heed endpoints that say they leave or have no room, and bound bytes without end

Cause: the forwarding path read neither the sign of a leaving endpoint in its answers nor the time that a full one asks for, so requests went on to both until the list told the former (0.8 s and more) and at once to the latter. A stream that goes on elsewhere measured silence from the last byte, so an engine that stalls and sends a byte now and then was never left, and the limit did not hold at all after the first of two attempts, since the attempt in flight was counted twice. An event without end grew in memory.

Change: AnswerFacts carries both wishes; fleet uses no such endpoint, also when the list is read again, and a caller whom nobody else can serve is told the time. Silence is measured from the last whole event, and an event is bounded by 64 KB. A relay whose endpoint sends all the time checks the caller's time.

--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -134,6 +134,10 @@
     pub signed: bool,
     /// The endpoint's load.
     pub load: Option<StatedLoad>,
+    /// The endpoint will stop soon and takes no new requests, whatever the list says.
+    pub leaving: bool,
+    /// Time for which an endpoint that turned a request away wants no further ones.
+    pub pause: Option<Duration>,
 }
 
 /// An endpoint on the platform's list.
--- a/lib/src/event_cutter.rs
+++ b/lib/src/event_cutter.rs
@@ -5,6 +5,17 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use derive_more::Display;
+use derive_more::Error;
+
+/// Largest event in bytes; the events of model engines hold a few tokens, so this many bytes without the
+/// end of an event come from an endpoint that has gone wrong.
+pub const MAX_EVENT_BYTES: usize = 64 << 10;
+
+/// More bytes without the end of an event than an event may have.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("an event exceeds {MAX_EVENT_BYTES} bytes")]
+pub struct LongEvent;
 
 /// Holds the part of an event that has not arrived whole.
 #[derive(Debug, Default)]
@@ -17,17 +28,23 @@
 
 impl EventCutter {
     /// Takes in bytes and returns those that complete events.
-    pub fn push(&mut self, bytes: Bytes) -> Bytes {
+    pub fn push(&mut self, bytes: Bytes) -> Result<Bytes, LongEvent> {
+        // The end of an event may begin with the last byte that was held before.
+        let seen = self.partial.len().saturating_sub(1);
         self.partial.extend_from_slice(&bytes);
-        let Some(end) = memchr::memmem::rfind(&self.partial, b"\n\n") else {
-            return Bytes::new();
+        let Some(end) = memchr::memmem::rfind(&self.partial[seen..], b"\n\n") else {
+            return match self.partial.len() > MAX_EVENT_BYTES {
+                true => Err(LongEvent),
+                false => Ok(Bytes::new()),
+            };
         };
+        let end = seen + end;
         let whole = self.partial.split_to(end + 2).freeze();
         let whole = self.drop_repeated(whole);
         if let Some(id) = last_id(&whole) {
             self.last = Some(id.to_owned());
         }
-        whole
+        Ok(whole)
     }
 
     /// Removes events that the caller has already, which a repeated stream may begin with.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -11,6 +11,8 @@
 //!   away at once, by long requests, since engines that read all the time finish no stream.
 //! * Load beyond capacity: long requests give way while more urgent ones find no room, so that no
 //!   kind is turned away for one that is less urgent.
+//! * Endpoints that leave or have no room for a while: what their answers say counts at once, before the
+//!   list tells it; nothing is sent there, and the other endpoints get the requests.
 //! * Endpoints that fail, refuse or fall silent: recent failures and unanswered calls count as
 //!   waiting time, which fades, so that an endpoint is neither used at once nor lost for good.
 
@@ -20,9 +22,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::dialect::AnswerFacts;
 use crate::dialect::ListedEndpoint;
 use crate::dialect::PromptPart;
-use crate::dialect::StatedLoad;
 use crate::fleet_endpoint::Endpoint;
 use crate::fleet_endpoint::OwnCall;
 use crate::ids::EndpointId;
@@ -149,6 +151,11 @@
 pub enum NoChoice {
     /// The service has no endpoint that takes requests.
     Nowhere,
+    /// Every endpoint that stays asked to be left alone for a time.
+    Paused {
+        /// Time until the first of them takes requests again.
+        wait: Duration,
+    },
     /// Every endpoint would answer too late.
     Late {
         /// Expected time to the first byte at the best one.
@@ -239,7 +246,7 @@
                         changes.push(ListChange::new(&listed));
                     }
                     // An endpoint that turned out to be replaced stays unused while the list lags.
-                    known.listed = listed;
+                    known.relist(listed);
                 }
                 _ => {
                     changes.push(ListChange::new(&listed));
@@ -280,16 +287,16 @@
             return Err(NoChoice::Yields);
         }
         let rate = self.rates.get(want.service).copied().unwrap_or(READ_RATE);
-        if want.draw < self.excess(want, rate) {
+        if want.draw < self.excess(now, want, rate) {
             return Err(NoChoice::Full);
         }
-        let readers = self.readers(want, rate);
+        let readers = self.readers(now, want, rate);
         let is_long = want.prompt >= LONG_PROMPT;
         let suits = |e: &Endpoint| readers.is_empty() || is_long == readers.contains(&e.hash);
         let copied = self.engines.get(want.service).and_then(|e| e.copied);
-        let holders = Holders::find(want.parts, copied, self.of(want.service), suits);
+        let holders = Holders::find(now, want.parts, copied, self.of(want.service), suits);
         let mut best: Option<(f64, &Endpoint, u32, Option<SocketAddr>)> = None;
-        for endpoint in self.of(want.service).filter(|e| e.is_usable()) {
+        for endpoint in self.of(want.service).filter(|e| e.is_usable(now)) {
             if want.excluded.contains(&endpoint.listed.id) {
                 continue;
             }
@@ -316,7 +323,7 @@
                 best = Some((score, endpoint, unread, source));
             }
         }
-        let (score, endpoint, unread, source) = best.ok_or(NoChoice::Nowhere)?;
+        let (score, endpoint, unread, source) = best.ok_or_else(|| self.nowhere(now, want))?;
         let expected = Duration::from_secs_f64(score / 1_000.0);
         if expected > want.left && !endpoint.is_doubtful(now) {
             return Err(NoChoice::Late { expected });
@@ -334,6 +341,16 @@
         })
     }
 
+    /// Returns why no endpoint can be chosen at all.
+    fn nowhere(&self, now: Instant, want: &Want<'_>) -> NoChoice {
+        let ends = self.of(want.service).filter_map(Endpoint::resumes);
+        let wait = ends.min().map(|end| end.saturating_duration_since(now));
+        match wait.filter(|wait| !wait.is_zero()) {
+            Some(wait) => NoChoice::Paused { wait },
+            None => NoChoice::Nowhere,
+        }
+    }
+
     /// Records a request that was turned away for lack of room, before which less urgent ones with
     /// long prompts should have been.
     pub fn turned_away(&mut self, now: Instant, service: &ServiceId, urgency: u8) {
@@ -345,11 +362,11 @@
     }
 
     /// Returns the part of the long requests that the endpoints have no capacity for.
-    fn excess(&self, want: &Want<'_>, rate: f64) -> f64 {
+    fn excess(&self, now: Instant, want: &Want<'_>, rate: f64) -> f64 {
         if want.prompt < LONG_PROMPT || want.urgency == 0 || want.total.long <= 0.0 {
             return 0.0;
         }
-        let usable = self.of(want.service).filter(|e| e.is_usable());
+        let usable = self.of(want.service).filter(|e| e.is_usable(now));
         let (count, slots) = usable.fold((0.0, 0.0), |(count, slots), e| {
             (count + 1.0, slots + f64::from(e.listed.slots))
         });
@@ -385,10 +402,10 @@
     ///
     /// All instances order the endpoints alike and know the same total, so they agree. Reclaimable
     /// endpoints come first, because long requests have the most time to be repeated.
-    fn readers(&self, want: &Want<'_>, rate: f64) -> Vec<u64> {
+    fn readers(&self, now: Instant, want: &Want<'_>, rate: f64) -> Vec<u64> {
         let mut usable: Vec<_> = self
             .of(want.service)
-            .filter(|e| e.is_usable())
+            .filter(|e| e.is_usable(now))
             .map(|e| (!e.listed.reclaimable, e.hash))
             .collect();
         if usable.len() < 2 || want.total.long <= 0.0 || want.total.short <= 0.0 {
@@ -484,15 +501,16 @@
         }
     }
 
-    /// Records the first byte of an answer, and whether the endpoint ran the request for it.
-    pub fn answered(&mut self, now: Instant, ticket: Ticket, load: Option<StatedLoad>, ran: bool) {
+    /// Records the head of an answer, and whether the endpoint ran the request for it.
+    pub fn answered(&mut self, now: Instant, ticket: Ticket, facts: &AnswerFacts, ran: bool) {
         let Some(endpoint) = self.places.get(&ticket) else {
             return;
         };
         let Some(endpoint) = self.endpoints.get_mut(endpoint) else {
             return;
         };
-        if let Some(load) = load {
+        endpoint.note_wishes(now, facts.leaving, facts.pause);
+        if let Some(load) = facts.load {
             endpoint.load = Some((load, now, endpoint.own.len()));
         }
         let alone = endpoint.own.iter().filter(|c| !c.answered).count() == 1;
@@ -515,11 +533,11 @@
         }
     }
 
-    /// Tells whether the endpoint of a call is on the list as leaving.
+    /// Tells whether the endpoint of a call will stop soon.
     pub fn leaves(&self, ticket: Ticket) -> bool {
         let endpoint = self.places.get(&ticket);
         let endpoint = endpoint.and_then(|id| self.endpoints.get(id));
-        endpoint.is_some_and(|endpoint| endpoint.listed.leaving)
+        endpoint.is_some_and(Endpoint::leaves)
     }
 
     /// Records that an endpoint closes the connection after an answer, as one that leaves does before
--- a/lib/src/fleet_endpoint.rs
+++ b/lib/src/fleet_endpoint.rs
@@ -64,6 +64,9 @@
 /// Memory of failures from which the expected delay is a guess.
 const DOUBTFUL: f64 = 0.1;
 
+/// Longest pause that an endpoint is granted; a longer one would take it out of use by a slip.
+const MAX_PAUSE: Duration = Duration::from_secs(600);
+
 /// How a call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallEnd {
@@ -125,6 +128,10 @@
     pub closed: Vec<Instant>,
     /// Cannot be used until the list names it again.
     pub gone: bool,
+    /// Its answers say that it leaves, which the list tells later.
+    leaving: bool,
+    /// Until when it wants no requests.
+    paused: Option<Instant>,
     pub cache: PromptCache,
 }
 
@@ -139,12 +146,41 @@
             failed: now,
             closed: Vec::new(),
             gone: false,
+            leaving: false,
+            paused: None,
             cache: PromptCache::default(),
         }
     }
 
-    pub(crate) fn is_usable(&self) -> bool {
-        !self.listed.leaving && !self.gone
+    /// Tells whether it takes new requests.
+    pub(crate) fn is_usable(&self, now: Instant) -> bool {
+        !self.leaves() && !self.gone && self.paused.is_none_or(|until| now >= until)
+    }
+
+    /// Tells whether it will stop soon, by the list or by its own answers.
+    pub(crate) fn leaves(&self) -> bool {
+        self.listed.leaving || self.leaving
+    }
+
+    /// Returns when it takes requests again, if a pause is all that keeps them away.
+    pub(crate) fn resumes(&self) -> Option<Instant> {
+        self.paused.filter(|_| !self.leaves() && !self.gone)
+    }
+
+    /// Takes over its entry on a newer list.
+    pub(crate) fn relist(&mut self, listed: ListedEndpoint) {
+        // An engine may come back under the name that it had; the list shows both states.
+        if self.listed.leaving && !listed.leaving {
+            self.leaving = false;
+        }
+        self.listed = listed;
+    }
+
+    /// Records what the head of an answer says about further requests.
+    pub(crate) fn note_wishes(&mut self, now: Instant, leaving: bool, pause: Option<Duration>) {
+        self.leaving |= leaving;
+        let until = pause.map(|pause| now + pause.min(MAX_PAUSE));
+        self.paused = self.paused.max(until);
     }
 
     fn unread(&self) -> u64 {
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -291,7 +291,7 @@
             },
         };
         let choice = match fleet.choose(now, &want) {
-            Err(NoChoice::Nowhere) if !self.excluded.is_empty() => {
+            Err(NoChoice::Nowhere | NoChoice::Paused { .. }) if !self.excluded.is_empty() => {
                 want.excluded = &[];
                 fleet.choose(now, &want)
             }
@@ -318,6 +318,7 @@
         let placed = self.choose().map_err(|reason| {
             let retry = match reason {
                 NoChoice::Nowhere => MAX_RETRY / 3,
+                NoChoice::Paused { wait } => wait.clamp(SHED_RETRY, MAX_RETRY),
                 NoChoice::Late { expected } => (expected / 2).min(MAX_RETRY),
                 NoChoice::Yields => MAX_RETRY / 2,
                 // Until then ordered endpoints serve.
@@ -334,9 +335,10 @@
             Refusal {
                 code: match reason {
                     NoChoice::Nowhere => ResultCode::NoEndpoint,
-                    NoChoice::Late { .. } | NoChoice::Yields | NoChoice::Full => {
-                        ResultCode::Overloaded
-                    }
+                    NoChoice::Late { .. }
+                    | NoChoice::Paused { .. }
+                    | NoChoice::Yields
+                    | NoChoice::Full => ResultCode::Overloaded,
                 },
                 retry: Some(retry.mul_f64(jitter)),
             }
@@ -358,7 +360,9 @@
             Some(moved) => (moved.flight, Some(moved.copy)),
             None => (self.place()?, None),
         };
-        let patience = self.silence_limit(&flight.choice).min(left);
+        let patience = self
+            .silence_limit(&flight.choice, self.attempts + 1)
+            .min(left);
         let exchange = self.exchange(&mut flight, last.as_deref(), copy.as_ref());
         let result = match timeout(patience, exchange).await {
             Ok(result) => result,
@@ -389,9 +393,9 @@
     /// Returns how long an endpoint may be silent before another one is asked instead.
     ///
     /// Only a request that may be repeated, at endpoints that it has not been to, is taken away; any
-    /// other one waits as long as its caller does.
-    pub(crate) fn silence_limit(&self, choice: &Choice) -> Duration {
-        let is_last = self.attempts + 1 >= self.route.attempts;
+    /// other one waits as long as its caller does. `attempt` counts the one at this endpoint.
+    pub(crate) fn silence_limit(&self, choice: &Choice, attempt: u32) -> Duration {
+        let is_last = attempt >= self.route.attempts;
         if is_last || !self.route.repeat.is_repeatable() {
             return Duration::MAX;
         }
@@ -478,7 +482,7 @@
         let now = self.now();
         let mut fleet = self.forwarder.fleet();
         let ran = is_success && facts.signed && !facts.refused;
-        fleet.answered(now, flight.ticket, facts.load, ran);
+        fleet.answered(now, flight.ticket, &facts, ran);
         if answer.closes() {
             fleet.closes(now, flight.ticket);
         }
--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -103,22 +103,41 @@
         let mut moving: Option<Moving> = None;
         let mut moved = None;
         let mut piece = started.first.take();
+        // Only whole events are progress: an endpoint may stall and still send a byte now and then.
+        let mut progress = Instant::now();
         loop {
             if let Some(bytes) = piece {
                 // Only whole events are passed on where another endpoint may have to go on.
                 let bytes = match resumable || movable {
-                    true => cutter.push(bytes),
+                    true => match cutter.push(bytes) {
+                        Ok(bytes) => bytes,
+                        Err(error) => {
+                            tracing::info!(request = self.ask.id, %error, "stream given up");
+                            return RelayEnd::Broken;
+                        }
+                    },
                     false => bytes,
                 };
-                if !bytes.is_empty() && sender.send(Ok(bytes)).await.is_err() {
-                    return RelayEnd::Left;
+                if !bytes.is_empty() {
+                    if sender.send(Ok(bytes)).await.is_err() {
+                        return RelayEnd::Left;
+                    }
+                    progress = Instant::now();
                 }
             }
             let left = self.left();
-            let limit = match resumable {
-                true => self.silence_limit(&started.flight.choice).min(left),
-                false => left,
+            let silence = match resumable {
+                true => self.silence_limit(&started.flight.choice, self.attempts),
+                false => Duration::MAX,
             };
+            let limit = silence.saturating_sub(progress.elapsed()).min(left);
+            if limit.is_zero() {
+                // An endpoint that sends all the time never lets the timer below run out.
+                return match left.is_zero() {
+                    true => RelayEnd::Late,
+                    false => RelayEnd::Broken,
+                };
+            }
             let until = Instant::now() + limit;
             let next = loop {
                 tokio::select! {
--- a/lib/src/prompt_source.rs
+++ b/lib/src/prompt_source.rs
@@ -1,6 +1,7 @@
 //! Where the shared parts of a prompt are taken to be, and from which engine they can be copied.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use crate::affinity;
 use crate::dialect::PromptPart;
@@ -47,6 +48,7 @@
     /// runner-up was the home before the winner came, and likely still holds the parts. Without a rate of
     /// copies there are no sources.
     pub(crate) fn find<'a>(
+        now: Instant,
         parts: &[PromptPart],
         rate: Option<f64>,
         endpoints: impl Iterator<Item = &'a Endpoint> + Clone,
@@ -57,7 +59,7 @@
         let Some(part) = common.last() else {
             return holders;
         };
-        let usable = endpoints.clone().filter(|e| e.is_usable());
+        let usable = endpoints.clone().filter(|e| e.is_usable(now));
         let mut homes: Vec<&Endpoint> = usable.filter(|e| suits(e)).collect();
         affinity::rank(part.id, &mut homes, |endpoint| endpoint.hash);
         homes.truncate(2);
--- a/lib/tests/test_event_cutter.rs
+++ b/lib/tests/test_event_cutter.rs
@@ -2,11 +2,14 @@
 
 use bytes::Bytes;
 use fulmarford_lib::event_cutter::EventCutter;
+use fulmarford_lib::event_cutter::LongEvent;
+use fulmarford_lib::event_cutter::MAX_EVENT_BYTES;
 use googletest::prelude::*;
 use proptest::prelude::*;
 
 fn push(cutter: &mut EventCutter, text: &str) -> String {
     let whole = cutter.push(Bytes::copy_from_slice(text.as_bytes()));
+    let whole = whole.expect("an event of usual length");
     String::from_utf8(whole.to_vec()).expect("text")
 }
 
@@ -55,6 +58,32 @@
     expect_that!(cutter.is_partial(), eq(false));
 }
 
+/// An engine that sends bytes without end, fast or one at a time, is not held in memory.
+#[gtest]
+fn push_event_without_end() {
+    for size in [1, 7, 16 << 10] {
+        let mut cutter = EventCutter::default();
+        let pieces = MAX_EVENT_BYTES / size + 2;
+        let taken = (0..pieces).take_while(|_| cutter.push(vec![b'x'; size].into()).is_ok());
+        let bytes = taken.count() * size;
+        expect_that!(bytes, all![gt(MAX_EVENT_BYTES - size), le(MAX_EVENT_BYTES)]);
+        expect_that!(cutter.push(Bytes::from_static(b"x")), err(eq(&LongEvent)));
+    }
+    let mut cutter = EventCutter::default();
+    let long = format!("data: {}\n\n", "x".repeat(MAX_EVENT_BYTES / 2));
+    for _ in 0..8 {
+        expect_that!(push(&mut cutter, &long), eq(&long));
+    }
+}
+
+/// The end of an event arrives in two pieces.
+#[gtest]
+fn push_divided_end() {
+    let mut cutter = EventCutter::default();
+    expect_that!(push(&mut cutter, "id: 1\n"), eq(""));
+    expect_that!(push(&mut cutter, "\n"), eq("id: 1\n\n"));
+}
+
 proptest! {
     #[test]
     fn push_any_division(cuts in proptest::collection::vec(1..20_usize, 0..40)) {
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use fulmarford_lib::dialect::AnswerFacts;
 use fulmarford_lib::dialect::ListedEndpoint;
 use fulmarford_lib::dialect::PromptPart;
 use fulmarford_lib::dialect::StatedLoad;
@@ -133,6 +134,70 @@
     expect_that!(f.ask(1, &[], &excluded), err(eq(&NoChoice::Nowhere)));
 }
 
+/// An engine says that it leaves while the list still calls it ready: nothing more goes there, also when
+/// the list is read again, until the list shows that it came back under its name.
+#[gtest]
+fn choose_not_leaving_by_answer() {
+    let mut f = Fixture::new(&["a", "b"]);
+    let first = f.place(500);
+    let leaving = AnswerFacts {
+        leaving: true,
+        ..AnswerFacts::default()
+    };
+    let ticket = f.fleet.start(f.now, &first, &[]);
+    f.fleet.answered(f.now, ticket, &leaving, true);
+    expect_that!(f.fleet.leaves(ticket), eq(true));
+    f.fleet.end(f.now, ticket, CallEnd::Served);
+    for _ in 0..3 {
+        let list = ["a", "b"].iter().map(|name| listed(name)).collect();
+        f.fleet.install(f.now, list);
+        f.pass(Duration::from_secs(5));
+        expect_that!(name(&f.place(500)), not(eq(name(&first))));
+    }
+    let (stays, left) = (listed(name(&f.place(500))), listed(name(&first)));
+    let drained = ListedEndpoint {
+        leaving: true,
+        ..left.clone()
+    };
+    f.fleet.install(f.now, vec![drained, stays.clone()]);
+    f.fleet.install(f.now, vec![left, stays.clone()]);
+    expect_that!(
+        f.ask(500, &[], &[stays.id]).map(|c| c.listed.id),
+        ok(eq(&first.listed.id))
+    );
+}
+
+/// An engine without room names a time: nothing goes there until then, not even as a last resort, and
+/// a caller whom nobody else can serve is told that time.
+#[gtest]
+fn choose_not_paused() {
+    let mut f = Fixture::new(&["a", "b"]);
+    let pause = AnswerFacts {
+        refused: true,
+        pause: Some(Duration::from_millis(2_500)),
+        ..AnswerFacts::default()
+    };
+    let first = f.place(500);
+    let ticket = f.fleet.start(f.now, &first, &[]);
+    f.fleet.answered(f.now, ticket, &pause, false);
+    f.fleet.end(f.now, ticket, CallEnd::Refused);
+    let other = f.place(500);
+    expect_that!(name(&other), not(eq(name(&first))));
+    let excluded = [other.listed.id.clone()];
+    f.pass(Duration::from_secs(1));
+    expect_that!(
+        f.ask(500, &[], &excluded),
+        err(eq(&NoChoice::Paused {
+            wait: Duration::from_millis(1_500)
+        }))
+    );
+    f.pass(Duration::from_millis(1_500));
+    expect_that!(
+        f.ask(500, &[], &excluded).map(|c| c.listed.id),
+        ok(eq(&first.listed.id))
+    );
+}
+
 /// A burst of long prompts: a short request passes to an engine that has nothing to read.
 #[gtest]
 fn choose_past_unread_prompts() {
@@ -377,7 +442,8 @@
         let choice = f.place(500);
         expect_that!(name(&choice), not(eq(name(&first))));
         let ticket = f.fleet.start(f.now, &choice, &[]);
-        f.fleet.answered(f.now, ticket, None, true);
+        f.fleet
+            .answered(f.now, ticket, &AnswerFacts::default(), true);
     }
 }
 
@@ -392,7 +458,11 @@
         waiting: 30,
         slots: 64,
     };
-    f.fleet.answered(f.now, ticket, Some(full), true);
+    let facts = AnswerFacts {
+        load: Some(full),
+        ..AnswerFacts::default()
+    };
+    f.fleet.answered(f.now, ticket, &facts, true);
     f.fleet.end(f.now, ticket, CallEnd::Served);
     for _ in 0..5 {
         expect_that!(name(&f.place(500)), not(eq(name(&first))));
@@ -465,13 +535,15 @@
     let choice = f.ask(50_100, &parts, &[]).expect("an endpoint");
     let ticket = f.fleet.start(f.now, &choice, &parts);
     f.pass(Duration::from_millis(10));
-    f.fleet.answered(f.now, ticket, None, true);
+    f.fleet
+        .answered(f.now, ticket, &AnswerFacts::default(), true);
     expect_that!(f.fleet.works(f.now)[&f.service].rate, eq(50.0));
     f.fleet.end(f.now, ticket, CallEnd::Served);
     let choice = f.place(50_000);
     let ticket = f.fleet.start(f.now, &choice, &[]);
     f.pass(Duration::from_millis(500));
-    f.fleet.answered(f.now, ticket, None, true);
+    f.fleet
+        .answered(f.now, ticket, &AnswerFacts::default(), true);
     expect_that!(
         f.fleet.works(f.now)[&f.service].rate,
         all![gt(60.0), le(100.0)]
@@ -486,7 +558,8 @@
         let choice = f.place(50_000);
         let ticket = f.fleet.start(f.now, &choice, &[]);
         f.pass(Duration::from_millis(2));
-        f.fleet.answered(f.now, ticket, None, false);
+        f.fleet
+            .answered(f.now, ticket, &AnswerFacts::default(), false);
         f.fleet.end(f.now, ticket, CallEnd::Refused);
     }
     expect_that!(f.fleet.works(f.now)[&f.service].rate, eq(50.0));
