Answer polls at the voters that follow, and share the repeats of a wide fleet

Change: beyond 32 instances each polls a voter that follows, picked by rendezvous hashing; that voter polls the leader, adds up work, passes usage reports, sightings and the endpoint list on, and refuses when its own view is older than 1 s. Ages add up, so the freshness of a view stays provable, and a change counts as in force only when everybody below a relay holds it. A change of the endpoint list now wakes polls that are held. Instances begin with different seeds.

Cause, repeats: an entry held slack / 2 / entries repeats, which never came back with time and were counted once, at the first request, when the number of entries may be unknown; with 211 entries no request was ever sent again. Change: SharedBudget divides the slack by the present number, gives a half back in each window, holds a whole repeat where the share allows it, draws below that, and keeps half for failures that another endpoint mends.

Tests: poll_relays, await_version_past_partition_relayed, suspicion_and_usage_travel_with_polls_relayed, spend_wide_fleet, spend_outage_below_bound (8 to 1,270 entries, with a third cut off), spend_seldom_leaves_half, spend_unknown_number.

--- a/lib/src/control_answer.rs
+++ b/lib/src/control_answer.rs
@@ -1,6 +1,5 @@
 //! What the control thread answers to peers.
 
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -8,13 +7,14 @@
 use tokio::sync::oneshot;
 
 use crate::command::Command;
+use crate::command::Incarnation;
 use crate::command::Reply;
 use crate::command::UsageReport;
 use crate::control::SubmitError;
 use crate::control_core::Core;
 use crate::control_core::MAX_SUBMIT;
 use crate::control_core::POLL_HOLD;
-use crate::control_core::whereabouts;
+use crate::control_core::leader_known;
 use crate::control_shared::remaining;
 use crate::dissemination::Publisher;
 use crate::ids::InstanceId;
@@ -41,15 +41,25 @@
 impl Core {
     async fn answer_poll(&self, mut request: PollRequest) -> PollResponse {
         let deadline = Instant::now() + POLL_HOLD;
+        let mut usage = Vec::new();
+        let leads = self.is_leader();
+        if leads {
+            let reports = std::mem::take(&mut request.usage);
+            usage.extend(reports.into_iter().map(|report| self.take_usage(report)));
+        } else {
+            self.relay_told(&request);
+        }
         let sightings = std::mem::take(&mut request.sightings);
         let poller = &request.poll.poller.instance;
         self.sightings.borrow_mut().add(poller, sightings);
-        let mut usage = request.usage.take().map(|report| self.take_usage(report));
         loop {
             let news = self.news.notified();
             let due = Instant::now() >= deadline;
-            let usage = usage.as_mut().and_then(PendingUsage::outcome);
-            match self.try_answer(&request, due, usage) {
+            let answer = match leads {
+                true => self.try_answer(&request, due, &mut usage),
+                false => self.try_relay(&request, due),
+            };
+            match answer {
                 Ok(Some(response)) => return response,
                 Ok(None) => {}
                 Err(NotLeading) => {
@@ -63,9 +73,10 @@
     }
 
     fn take_usage(&self, report: UsageReport) -> PendingUsage {
-        let sequence = report.sequence;
+        let (entry, sequence) = (report.entry.clone(), report.sequence);
         let receiver = self.propose(Command::AddUsage(report));
         PendingUsage {
+            entry,
             sequence,
             receiver,
             outcome: None,
@@ -76,7 +87,7 @@
         &self,
         request: &PollRequest,
         due: bool,
-        usage: Option<UsageOutcome>,
+        usage: &mut [PendingUsage],
     ) -> Result<Option<PollResponse>, NotLeading> {
         let now = self.clock.now();
         let poll = &request.poll;
@@ -93,9 +104,14 @@
         }
         let watched = request.watch.is_some_and(|version| settled >= version);
         let changed = revision != request.suspects;
-        if !due && !watched && !changed && !publisher.has_news(poll) {
+        let relisted = self.shared.list.has_news(now, request.list);
+        if !due && !watched && !changed && !relisted && !publisher.has_news(poll) {
             return Ok(None);
         }
+        if let Some(count) = request.below {
+            let name = poll.poller.instance.clone();
+            self.counts.borrow_mut().insert(name, count);
+        }
         let update = publisher.answer(now, poll, age).map_err(|_| NotLeading)?;
         let chunks = self.grant(publisher, now, age, &poll.poller.instance, &request.demand);
         let entries = self.count_entries(publisher, now);
@@ -108,23 +124,17 @@
         Ok(Some(PollResponse::News(Box::new(News {
             update,
             suspects: changed.then(|| Suspects::of(voter.state().suspects())),
-            usage,
+            usage: usage.iter_mut().filter_map(|u| u.outcome()).collect(),
             chunks,
             entries,
             members,
+            leader: leader_known(voter),
             work,
             list: self.shared.list.news(now, request.list),
             sightings: self.sightings.borrow_mut().news(&poll.poller.instance),
         }))))
     }
 
-    /// Counts the instances that may serve: those with a lease, and the leader itself.
-    fn count_entries(&self, publisher: &Publisher, now: Instant) -> u32 {
-        let mut names: BTreeSet<_> = publisher.holders(now).map(|h| &h.instance).collect();
-        names.insert(&self.me.instance);
-        u32::try_from(names.len()).unwrap_or(u32::MAX)
-    }
-
     /// Grants quota to an instance, on a leader that is certain to be the only one that grants.
     fn grant(
         &self,
@@ -204,21 +214,20 @@
             }
             self.kick.notify_one();
         }
-        let leader = voter.raft().leader();
-        let leader = leader.and_then(|id| voter.raft().members().get(id));
         JoinResponse::Grouped {
             member: voter.raft().members().get(request.id).is_some(),
-            leader: leader.map(whereabouts),
+            leader: leader_known(voter),
             founders: voter.founders(),
         }
     }
 }
 
 /// This instance is not a leader that is certain of its majority.
-struct NotLeading;
+pub(crate) struct NotLeading;
 
 /// A usage report whose command was proposed.
 struct PendingUsage {
+    entry: Incarnation,
     sequence: u64,
     receiver: Option<oneshot::Receiver<Result<Reply, SubmitError>>>,
     outcome: Option<UsageOutcome>,
@@ -234,11 +243,12 @@
                 _ => return None,
             };
             self.outcome = Some(UsageOutcome {
+                entry: self.entry.clone(),
                 sequence: self.sequence,
                 taken,
             });
         }
-        self.outcome
+        self.outcome.clone()
     }
 }
 
--- a/lib/src/control_core.rs
+++ b/lib/src/control_core.rs
@@ -16,12 +16,14 @@
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
+use crate::affinity;
 use crate::clock::Clock;
 use crate::command::Command;
 use crate::command::Incarnation;
 use crate::command::Reply;
 use crate::control::SubmitError;
 use crate::control::Suspicion;
+use crate::control_relay::Relay;
 use crate::control_shared::Published;
 use crate::control_shared::Shared;
 use crate::control_shared::remaining;
@@ -41,6 +43,7 @@
 use crate::raft_message::MemberId;
 use crate::raft_message::Outgoing;
 use crate::rule_state::CommittedChange;
+use crate::shared_list::ListRevision;
 use crate::sighting::SightingBoard;
 use crate::usage::UsageSender;
 use crate::view::Version;
@@ -48,6 +51,10 @@
 use crate::voter::Voter;
 use crate::work::WorkSum;
 
+/// Instances up to which all poll the leader itself; a leader bears that many at a few percent of a small
+/// processor (`docs/CAPACITY.md`).
+pub const DIRECT_POLLERS: u32 = 32;
+
 /// Time that a poll is held while there is no news.
 pub const POLL_HOLD: Duration = Duration::from_millis(250);
 
@@ -97,6 +104,8 @@
     pub list: Vec<PeerAddress>,
     /// Whether the members are learned from the group.
     pub discover: bool,
+    /// Instances up to which all poll the leader itself.
+    pub direct: u32,
 }
 
 /// State of the control thread.
@@ -106,6 +115,7 @@
     pub(crate) address: SocketAddr,
     pub(crate) peers: Vec<PeerAddress>,
     discover: bool,
+    pub(crate) direct: u32,
     /// Addresses of the members, as a leader told them.
     learned: RefCell<Vec<SocketAddr>>,
     pub(crate) clock: Arc<dyn Clock>,
@@ -124,6 +134,14 @@
     pub(crate) news: Notify,
     links: RefCell<HashMap<SocketAddr, Rc<Link>>>,
     avoided: RefCell<HashMap<SocketAddr, Instant>>,
+    /// Voters that had nothing to relay, and when.
+    pub(crate) refused: RefCell<HashMap<SocketAddr, Instant>>,
+    /// What this instance keeps for those that it answers, as a voter that follows.
+    pub(crate) relay: RefCell<Option<Relay>>,
+    /// Wakes the own poll when those below hold a newer version.
+    pub(crate) advanced: Notify,
+    /// How many instances each voter answers, at the leader.
+    pub(crate) counts: RefCell<HashMap<InstanceId, u32>>,
     pub(crate) hint: RefCell<Option<Whereabouts>>,
     pub(crate) senders: RefCell<HashMap<MemberId, SocketAddr>>,
     pub(crate) pools: RefCell<Option<(u64, Pools)>>,
@@ -131,7 +149,7 @@
     pub(crate) works: RefCell<WorkSum>,
     /// Prompt parts that the instances which poll this one sent to engines.
     pub(crate) sightings: RefCell<SightingBoard>,
-    seen: Cell<(bool, Version, Version, u64)>,
+    seen: Cell<(bool, Version, Version, u64, ListRevision)>,
 }
 
 impl Core {
@@ -151,6 +169,7 @@
             address,
             peers: peers.list,
             discover: peers.discover,
+            direct: peers.direct,
             learned: RefCell::default(),
             clock,
             shared,
@@ -166,6 +185,10 @@
             news: Notify::new(),
             links: RefCell::default(),
             avoided: RefCell::default(),
+            refused: RefCell::default(),
+            relay: RefCell::default(),
+            advanced: Notify::new(),
+            counts: RefCell::default(),
             hint: RefCell::default(),
             senders: RefCell::default(),
             pools: RefCell::default(),
@@ -191,11 +214,7 @@
 
     /// Returns where the leader is, as far as this instance knows.
     pub(crate) fn leader(&self) -> Option<Whereabouts> {
-        let voter = self.voter.borrow();
-        let known = voter.as_ref().and_then(|voter| {
-            let member = voter.raft().members().get(voter.raft().leader()?)?;
-            Some(whereabouts(member))
-        });
+        let known = self.voter.borrow().as_ref().and_then(leader_known);
         known.or_else(|| self.hint.borrow().clone())
     }
 
@@ -221,7 +240,14 @@
             let members = voter.raft().members().iter();
             addresses.extend(members.filter_map(|(_, m)| m.address.parse::<SocketAddr>().ok()));
         }
-        addresses.extend(self.peers.iter().map(|peer| peer.address));
+        // All instances know the same addresses at the start, and not all begin with the first one.
+        let mut configured: Vec<_> = self.peers.iter().map(|peer| peer.address).collect();
+        if self.discover && !configured.is_empty() {
+            let turn = affinity::hash_name(self.me.instance.as_str());
+            let turn = turn % configured.len() as u64;
+            configured.rotate_left(turn as usize);
+        }
+        addresses.extend(configured);
         let mut seen = BTreeSet::new();
         addresses.retain(|address| *address != self.address && seen.insert(*address));
         addresses
@@ -261,6 +287,12 @@
             .copied()
     }
 
+    /// Tells whether an upstream did not answer lately.
+    pub(crate) fn is_avoided(&self, address: SocketAddr, now: Instant) -> bool {
+        let avoided = self.avoided.borrow();
+        avoided.get(&address).is_some_and(|at| now < *at + AVOID)
+    }
+
     /// Notes that an upstream did not answer.
     pub(crate) fn avoid(&self, address: SocketAddr) {
         self.avoided.borrow_mut().insert(address, Instant::now());
@@ -325,11 +357,13 @@
         let age = voter.age(now);
         let revision = voter.state().suspects().revision();
         let leads = voter.is_leader();
-        let mut seen = (leads, Version(0), Version(0), revision);
+        let list = self.shared.list.revision();
+        let mut seen = (leads, Version(0), Version(0), revision, list);
         if let Some(publisher) = voter.publisher() {
             let settled = publisher.settled(now);
             let view = publisher.view().clone();
-            seen = (leads, view.version(), settled, revision);
+            seen = (leads, view.version(), settled, revision, list);
+            *self.relay.borrow_mut() = None;
             if let Some(fresh) = age.and_then(|age| now.checked_sub(age)) {
                 let epoch = publisher.epoch();
                 self.subscriber
@@ -552,6 +586,12 @@
     }
 }
 
+/// Returns the leader as a voter knows it.
+pub(crate) fn leader_known(voter: &Voter) -> Option<Whereabouts> {
+    let member = voter.raft().members().get(voter.raft().leader()?)?;
+    Some(whereabouts(member))
+}
+
 pub(crate) fn whereabouts(member: &Member) -> Whereabouts {
     Whereabouts {
         instance: member.instance.clone(),
--- a/lib/src/control_shared.rs
+++ b/lib/src/control_shared.rs
@@ -246,6 +246,8 @@
     pub members: Vec<MemberStatus>,
     /// Instances that hold a lease, on the leader.
     pub instances: Vec<String>,
+    /// Instances that the voters answer for the leader, on the leader.
+    pub relayed: u32,
     /// Instances that may still serve an older version, on the leader.
     pub lagging: Vec<String>,
     /// Exclusive leases as this voter has applied them.
--- a/lib/src/control_thread.rs
+++ b/lib/src/control_thread.rs
@@ -50,7 +50,6 @@
 use crate::peer_message::News;
 use crate::peer_message::PollRequest;
 use crate::peer_message::PollResponse;
-use crate::peer_message::Whereabouts;
 use crate::peer_message::decode;
 use crate::peer_message::encode;
 use crate::raft::Config as RaftConfig;
@@ -72,6 +71,8 @@
 const DRIVE_MAX: Duration = Duration::from_millis(50);
 const MEMBER_PERIOD: Duration = Duration::from_millis(250);
 const EXPIRED_PAUSE: Duration = Duration::from_millis(125);
+/// Times that pause at most, after that many polls in a row without an answer.
+const EXPIRED_PAUSES: u32 = 3;
 const JOIN_TIMEOUT: Duration = Duration::from_secs(1);
 const INITIAL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -87,6 +88,8 @@
     pub peers: Vec<PeerAddress>,
     /// Whether `peers` are only a start: the members are learned from the group.
     pub discover: bool,
+    /// Instances up to which all poll the leader itself, and beyond which voters relay.
+    pub direct: u32,
     /// Length of usage windows.
     pub terms: UsageTerms,
     /// Storage of a voter.
@@ -176,6 +179,7 @@
         Peers {
             list: config.peers,
             discover: config.discover,
+            direct: config.direct,
         },
         config.clock,
         shared.clone(),
@@ -295,7 +299,8 @@
 
 /// Keeps the view fresh by polling the leader.
 async fn keep_polling(core: Rc<Core>) {
-    let mut upstream = None;
+    let mut failed = None;
+    let mut misses = 0;
     let mut reported: Option<Instant> = None;
     let mut granted: Option<Instant> = None;
     loop {
@@ -309,96 +314,124 @@
             sleep(POLL_HOLD / 5).await;
             continue;
         }
-        let Some(address) = upstream.or_else(|| core.next_upstream(None)) else {
+        let Some(address) = core.poll_upstream(failed) else {
             sleep(POLL_HOLD).await;
             continue;
         };
-        let next = poll_once(&core, address, &mut reported).await;
-        if next.is_none() {
-            let valid = core.subscriber.borrow().lease().is_valid(core.clock.now());
-            if valid {
-                pause_before_retry().await;
-            } else {
-                // Nothing is served any more, so the voters are spared a storm of polls.
-                sleep(EXPIRED_PAUSE).await;
-            }
+        if poll_once(&core, address, &mut reported).await {
+            (failed, misses) = (None, 0);
+            continue;
+        }
+        (failed, misses) = (Some(address), misses + 1);
+        let valid = core.subscriber.borrow().lease().is_valid(core.clock.now());
+        if valid {
+            pause_before_retry().await;
+        } else {
+            // Nothing is served any more, so the voters are spared a storm of polls.
+            let pause = EXPIRED_PAUSE * misses.min(EXPIRED_PAUSES);
+            sleep(pause.mul_f64(rand::rng().random_range(0.5..1.0))).await;
         }
-        upstream = next.or_else(|| core.next_upstream(Some(address)));
     }
 }
 
-/// Polls once; returns the address if it was of use.
-async fn poll_once(
-    core: &Rc<Core>,
-    address: SocketAddr,
-    reported: &mut Option<Instant>,
-) -> Option<SocketAddr> {
+/// Polls once; returns whether it was of use.
+async fn poll_once(core: &Rc<Core>, address: SocketAddr, reported: &mut Option<Instant>) -> bool {
     let link = core.link(address);
     if !link.connected(POLL_HOLD).await {
         core.avoid(address);
-        return None;
+        return false;
     }
     let sent = core.clock.now();
-    let usage = due_usage(core, sent, reported);
+    let mut usage = Vec::from_iter(due_usage(core, sent, reported));
+    let below = core.below(sent);
+    let count = below.as_ref().map(|below| below.count);
+    usage.extend(below.into_iter().flat_map(|below| below.reports));
+    let work = {
+        let own = core.shared.work.lock().expect("work lock poisoned").clone();
+        let mut works = core.works.borrow_mut();
+        works.set(sent, &core.me.instance, own);
+        works.sum(sent)
+    };
     let settled = core.subscriber.borrow().settled();
     let watch = core.watch.get().filter(|version| settled < *version);
     core.watch.set(watch);
     let request = encode(&PollRequest {
-        poll: core.subscriber.borrow().poll(&core.me, None),
+        poll: {
+            let settled = core.settled_below(sent);
+            core.subscriber.borrow().poll(&core.me, settled)
+        },
         watch,
         suspects: core.revision.get(),
         usage,
+        below: count,
         demand: core.shared.shares.demand(sent),
-        work: core.shared.work.lock().expect("work lock poisoned").clone(),
+        work,
         sightings: core.shared.told.take(),
         list: core.shared.list.held(),
     });
     let answer = tokio::select! {
         answer = link.poll(&request, POLL_TIMEOUT) => answer,
         // Somebody began to wait for a version, which this poll does not mention.
-        () = core.repoll.notified(), if watch.is_none() => return Some(address),
+        () = core.repoll.notified(), if watch.is_none() => return true,
+        () = core.advanced.notified() => return true,
     };
     match answer.ok().as_deref().and_then(decode) {
         Some(PollResponse::News(news)) => {
-            install(core, sent, *news);
-            // Only the leader answers polls, so commands go there, too.
-            core.set_hint(link.peer().map(|instance| Whereabouts {
-                instance,
-                address: address.to_string(),
-            }));
-            Some(address)
+            core.set_hint(news.leader.clone());
+            let from = link.peer().unwrap_or_else(|| core.me.instance.clone());
+            install(core, from, sent, *news);
+            true
         }
         Some(PollResponse::Elsewhere { leader }) => {
             core.set_hint(leader);
-            None
+            core.note_refused(address);
+            false
         }
         None => {
             core.avoid(address);
-            None
+            false
         }
     }
 }
 
-fn install(core: &Rc<Core>, sent: Instant, news: News) {
+fn install(core: &Rc<Core>, from: InstanceId, sent: Instant, news: News) {
+    let settled = core.subscriber.borrow().settled();
     let installed = core.subscriber.borrow_mut().install(sent, news.update);
-    if let Err(error) = installed {
-        tracing::warn!(%error, "did not take in an update");
-        return;
-    }
+    let delta = match installed {
+        Ok(delta) => delta,
+        Err(error) => {
+            tracing::warn!(%error, "did not take in an update");
+            return;
+        }
+    };
     core.publish();
     core.shared.shares.receive(sent, &news.chunks);
     core.shared.set_entries(news.entries);
     core.learn_members(&news.members);
     core.shared.set_total(news.work);
+    let list = core.shared.list.revision();
+    if core.can_relay() {
+        core.sightings
+            .borrow_mut()
+            .add(&from, news.sightings.clone());
+    }
     core.shared.heard.append(news.sightings);
     if let Some(list) = news.list {
         core.shared.list.learn(sent, list);
+        if core.can_relay() {
+            core.shared.list.relay(core.me.number);
+        }
     }
-    core.notify_news();
     if let Some(suspects) = &news.suspects {
         core.install_suspects(suspects);
     }
-    if let Some(outcome) = news.usage {
+    let is_new = core.relay_news(delta.as_ref(), &news.usage);
+    let has_advanced = core.subscriber.borrow().settled() > settled;
+    let is_relisted = core.shared.list.revision() != list;
+    if is_new || has_advanced || is_relisted || news.suspects.is_some() {
+        core.notify_news();
+    }
+    for outcome in news.usage.iter().filter(|o| o.entry == core.me) {
         let mut usage = core.usage.borrow_mut();
         if outcome.taken {
             usage.accepted(outcome.sequence);
@@ -612,7 +645,7 @@
         let mut reported = None;
         let _ = timeout(remaining(deadline), report_own_usage(core, &mut reported)).await;
         hand_over(core, deadline).await;
-    } else if let Some(address) = core.next_upstream(None) {
+    } else if let Some(address) = core.poll_upstream(None) {
         let mut reported = None;
         let last = poll_once(core, address, &mut reported);
         let _ = timeout(remaining(deadline), last).await;
@@ -689,6 +722,12 @@
         let name = |life: &Incarnation| life.instance.to_string();
         status.instances = publisher.holders(now).map(name).collect();
         status.instances.sort();
+        let counts = core.counts.borrow();
+        let counts = status
+            .instances
+            .iter()
+            .map(|name| counts.get(name.as_str()));
+        status.relayed = counts.flatten().sum();
         status.lagging = publisher.laggards(now, version).map(name).collect();
     }
     status
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -21,6 +21,7 @@
 use http::header;
 use http_body_util::BodyExt as _;
 use http_body_util::Limited;
+use rand::Rng as _;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
@@ -36,7 +37,9 @@
 use crate::forward_job::Refusal;
 use crate::ids::ServiceId;
 use crate::ids::WorkspaceId;
-use crate::retry::RetryBudget;
+use crate::retry::Mend;
+use crate::retry::SharedBudget;
+use crate::retry::SharedTerms;
 use crate::route_table::Route;
 use crate::route_table::RouteTable;
 use crate::rules::Document;
@@ -90,10 +93,8 @@
     pub changes: watch::Receiver<()>,
     /// Time for which a configuration is served without contact to the group.
     pub stale_limit: Duration,
-    /// Repeats that a service allows over all instances, as a part of its requests.
-    pub retry_ratio: f64,
-    /// Repeats over all instances beyond that part.
-    pub retry_slack: f64,
+    /// Repeats that each service bears.
+    pub repeats: SharedTerms,
     /// Counters and histograms.
     pub metrics: TrafficMetrics,
 }
@@ -102,7 +103,7 @@
 pub struct Forwarder {
     pub(crate) settings: Settings,
     table: RwLock<Option<(Arc<Document>, Arc<RouteTable>)>>,
-    budgets: Mutex<std::collections::HashMap<ServiceId, RetryBudget>>,
+    budgets: Mutex<std::collections::HashMap<ServiceId, SharedBudget>>,
     started: Instant,
     /// Whether the configuration is too old to be served.
     cut: AtomicBool,
@@ -349,25 +350,29 @@
     }
 
     fn earn(&self, service: &ServiceId) {
-        self.with_budget(service, |budget| budget.earn());
+        self.with_budget(service, |budget, now, entries| budget.earn(now, entries));
     }
 
-    pub(crate) fn spend(&self, service: &ServiceId) -> bool {
-        self.with_budget(service, RetryBudget::spend)
+    /// Takes a repeat of the service, if there is one for such a failure.
+    pub(crate) fn spend(&self, service: &ServiceId, mend: Mend) -> bool {
+        let draw = rand::rng().random_range(0.0..1.0);
+        let spend =
+            |budget: &mut SharedBudget, now, entries| budget.spend(now, entries, mend, draw);
+        self.with_budget(service, spend)
     }
 
-    fn with_budget<T>(&self, service: &ServiceId, run: impl FnOnce(&mut RetryBudget) -> T) -> T {
+    fn with_budget<T>(
+        &self,
+        service: &ServiceId,
+        run: impl FnOnce(&mut SharedBudget, Instant, u32) -> T,
+    ) -> T {
+        let now = self.settings.clock.now();
+        let entries = self.settings.control.entries();
         let mut budgets = self.budgets.lock().expect("budgets lock poisoned");
-        let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            let entries = self.settings.control.entries().max(1);
-            // Half of what is allowed: the other half covers callers that change instances and
-            // windows that fall between two buckets.
-            RetryBudget::new(
-                self.settings.retry_ratio / 2.0,
-                self.settings.retry_slack / 2.0 / f64::from(entries),
-            )
-        });
-        run(budget)
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| SharedBudget::new(now, self.settings.repeats, entries));
+        run(budget, now, entries)
     }
 
     pub(crate) fn fleet(&self) -> std::sync::MutexGuard<'_, Fleet> {
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -31,6 +31,7 @@
 use crate::ids::EndpointId;
 use crate::ids::ServiceId;
 use crate::ids::WorkspaceId;
+use crate::retry::Mend;
 use crate::route_table::EngineKind;
 use crate::route_table::Repeat;
 use crate::route_table::Route;
@@ -263,10 +264,14 @@
         if !reached {
             self.unreached += 1;
         }
+        let mend = match end {
+            CallEnd::Failed => Mend::Seldom,
+            _ => Mend::Likely,
+        };
         after_failure(self.route.repeat, end, self.attempts, self.route.attempts) == Next::Again
             && self.unreached <= MAX_UNREACHED
             && self.left() > LEAST_OFFER
-            && (!reached || self.forwarder.spend(&self.service))
+            && (!reached || self.forwarder.spend(&self.service, mend))
     }
 
     fn choose(&self) -> Result<(Choice, Ticket), NoChoice> {
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -16,6 +16,7 @@
 use crate::clock::Clock;
 use crate::clock::SystemClock;
 use crate::command::UsageTerms;
+use crate::control_core::DIRECT_POLLERS;
 use crate::control_core::PeerAddress;
 use crate::control_thread;
 use crate::control_thread::ControlThread;
@@ -31,6 +32,7 @@
 use crate::ids::InstanceId;
 use crate::ids::ZoneId;
 use crate::peer::Secrets;
+use crate::retry::SharedTerms;
 use crate::server::Request;
 use crate::server::Response;
 use crate::server::Server;
@@ -91,10 +93,8 @@
     pub orders: bool,
     /// Length of usage windows.
     pub terms: UsageTerms,
-    /// Repeats that a service allows, as a part of its requests.
-    pub retry_ratio: f64,
-    /// Repeats that a service allows beyond that part.
-    pub retry_slack: f64,
+    /// Repeats that each service bears from all instances.
+    pub repeats: SharedTerms,
     /// Time from the request to stop until the process is killed.
     pub grace: Duration,
     /// Time for which a configuration is served without contact to the group.
@@ -170,8 +170,7 @@
             fleet: fleet.clone(),
             changes,
             stale_limit: self.settings.stale_limit,
-            retry_ratio: self.settings.retry_ratio,
-            retry_slack: self.settings.retry_slack,
+            repeats: self.settings.repeats,
             metrics,
         });
         if let Some(platform) = self.settings.platform {
@@ -265,6 +264,7 @@
         address: settings.peer,
         peers: peers.collect(),
         discover: true,
+        direct: DIRECT_POLLERS,
         terms: settings.terms,
         store,
         bootstrap: settings.bootstrap,
--- a/lib/src/peer_message.rs
+++ b/lib/src/peer_message.rs
@@ -1,5 +1,6 @@
 //! Records that instances exchange inside the calls of [`crate::peer`].
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -7,6 +8,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::command::Command;
+use crate::command::Incarnation;
 use crate::command::Reply;
 use crate::command::UsageReport;
 use crate::control::Suspicion;
@@ -34,11 +36,13 @@
     pub watch: Option<Version>,
     /// Revision of the suspects that the poller holds.
     pub suspects: u64,
-    /// Usage since the last accepted report.
-    pub usage: Option<UsageReport>,
+    /// Usage since the last accepted report, also that of the instances which the poller answers.
+    pub usage: Vec<UsageReport>,
+    /// How many instances the poller answers for the leader, if it is a voter that may do so.
+    pub below: Option<u32>,
     /// Demand for quota.
     pub demand: Vec<DemandRow>,
-    /// Work that the callers of this instance ask of services.
+    /// Work that the callers of this instance, and of those which it answers, ask of services.
     pub work: Works,
     /// Prompt parts that this instance sent to engines.
     pub sightings: Vec<Sighting>,
@@ -74,14 +78,16 @@
     pub update: Update,
     /// Suspected and quarantined requests, if they changed.
     pub suspects: Option<Suspects>,
-    /// Outcome of the usage report of this poll, if it is known.
-    pub usage: Option<UsageOutcome>,
+    /// Outcomes of usage reports of this poll, as far as they are known.
+    pub usage: Vec<UsageOutcome>,
     /// Quota that the poller may spend.
     pub chunks: Vec<ChunkRow>,
     /// Instances that hold a view lease, the answering one included.
     pub entries: u32,
     /// Peer addresses of the members of the group.
     pub members: Vec<String>,
+    /// The leader, which commands go to.
+    pub leader: Option<Whereabouts>,
     /// Work that the callers of all instances ask of services.
     pub work: Works,
     /// Prompt parts that other instances sent to engines.
@@ -100,6 +106,16 @@
 }
 
 impl Suspects {
+    /// Copies the suspects that an instance was told.
+    pub fn new(revision: u64, suspects: &HashMap<u64, Suspicion>) -> Self {
+        let is_held = |held: &Suspicion| *held == Suspicion::Quarantined;
+        let list = suspects.iter().map(|(print, held)| (*print, is_held(held)));
+        Self {
+            revision,
+            list: list.collect(),
+        }
+    }
+
     /// Copies the suspects of the replicated state.
     pub fn of(suspects: &crate::suspect::Suspects) -> Self {
         Self {
@@ -113,8 +129,10 @@
 }
 
 /// What became of a usage report.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageOutcome {
+    /// The life of the instance that made it.
+    pub entry: Incarnation,
     /// Number of the report.
     pub sequence: u64,
     /// Whether it was taken; otherwise it was refused for good.
--- a/lib/src/quota.rs
+++ b/lib/src/quota.rs
@@ -183,6 +183,11 @@
         }
     }
 
+    /// Tells whether any workspace has limits.
+    pub fn is_in_use(&self) -> bool {
+        !self.shares.read().expect("shares lock poisoned").is_empty()
+    }
+
     /// Returns what to ask for in the next poll.
     pub fn demand(&self, now: Instant) -> Vec<DemandRow> {
         let shares = self.shares.read().expect("shares lock poisoned");
--- a/lib/src/retry.rs
+++ b/lib/src/retry.rs
@@ -1,9 +1,11 @@
 //! Retry budget and jittered backoff.
 //!
 //! The budget is a share of ordinary requests, so that retries cannot multiply the load when many
-//! endpoints fail at once.
+//! endpoints fail at once. [`RetryBudget`] is that of one instance, [`SharedBudget`] the part of an
+//! instance in one that all share.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use rand::Rng;
 
@@ -58,6 +60,135 @@
     }
 }
 
+/// Repeats that a service bears from all instances together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SharedTerms {
+    /// Repeats for each ordinary request.
+    pub ratio: f64,
+    /// Repeats beyond that in any window.
+    pub slack: f64,
+    /// Length of a window.
+    pub window: Duration,
+}
+
+/// Instances that are assumed until their number is known: the target size of a fleet.
+const UNKNOWN_ENTRIES: u32 = 1_300;
+
+/// Part of the earned repeats that is spent; the rest covers requests that are counted in the window
+/// before the one in which they are repeated.
+const EARNED_PART: f64 = 0.5;
+
+/// Part of a share below one repeat that is held at most, and that comes back in a window; a draw decides,
+/// so the sum over many instances is near its mean and half of the bound stays free.
+const DRAWN_PART: f64 = 0.25;
+
+/// Time for which the larger number counts after instances have become fewer: those that are cut off
+/// still spend by it.
+const FEWER_DELAY: Duration = Duration::from_secs(60);
+
+/// What an attempt failed with, by what another one can mend.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mend {
+    /// The endpoint refused, broke off or stayed silent, which another one seldom does as well.
+    Likely,
+    /// The endpoint answered with an error, which mostly belongs to the request.
+    Seldom,
+}
+
+/// The part of one instance in a budget that all instances share without asking each other.
+///
+/// The share is the slack divided by the instances. In any window an instance spends what it held and
+/// what came back in the window, which together are its share, besides what its own requests earn; so the
+/// sum stays below the bound whatever happens at once. A share of one and more holds a whole repeat.
+#[derive(Clone, Copy, Debug)]
+pub struct SharedBudget {
+    terms: SharedTerms,
+    /// Number of instances, 0 while it is unknown.
+    entries: u32,
+    /// When there were last that many instances.
+    counted: Instant,
+    tokens: f64,
+    filled: Instant,
+}
+
+impl SharedBudget {
+    /// Creates a full budget.
+    pub fn new(now: Instant, terms: SharedTerms, entries: u32) -> Self {
+        let mut budget = Self {
+            terms,
+            entries,
+            counted: now,
+            tokens: 0.0,
+            filled: now,
+        };
+        budget.tokens = budget.burst();
+        budget
+    }
+
+    fn share(&self) -> f64 {
+        let entries = match self.entries {
+            0 => UNKNOWN_ENTRIES,
+            entries => entries,
+        };
+        self.terms.slack / f64::from(entries)
+    }
+
+    /// Returns the repeats that are held at most.
+    fn burst(&self) -> f64 {
+        match self.share() {
+            share if share >= 2.0 => share / 2.0,
+            share if share >= 1.0 => 1.0,
+            share => share * DRAWN_PART,
+        }
+    }
+
+    /// Returns the repeats that come back in a window.
+    fn refill(&self) -> f64 {
+        match self.share() {
+            share if share >= 1.0 => share - self.burst(),
+            share => share * DRAWN_PART,
+        }
+    }
+
+    /// Counts an ordinary request; `entries` is the number of instances, 0 while it is unknown.
+    pub fn earn(&mut self, now: Instant, entries: u32) {
+        self.advance(now, entries);
+        let earned = self.terms.ratio * EARNED_PART;
+        self.tokens = (self.tokens + earned).min(self.burst().max(1.0));
+    }
+
+    fn advance(&mut self, now: Instant, entries: u32) {
+        let is_over = now.saturating_duration_since(self.counted) >= FEWER_DELAY;
+        if entries >= self.entries || (is_over && entries > 0) {
+            (self.entries, self.counted) = (entries, now);
+        }
+        let passed = now.saturating_duration_since(self.filled);
+        let windows = passed.as_secs_f64() / self.terms.window.as_secs_f64();
+        // What requests earned beyond the burst stays; time alone fills no further than it.
+        let room = (self.burst() - self.tokens).max(0.0);
+        self.tokens += (self.refill() * windows).min(room);
+        self.filled = now;
+    }
+
+    /// Takes one repeat and tells whether there was one; `draw` is a random number below 1.
+    pub fn spend(&mut self, now: Instant, entries: u32, mend: Mend, draw: f64) -> bool {
+        self.advance(now, entries);
+        let least = match mend {
+            Mend::Likely => 1.0,
+            // Half is kept for those that another endpoint mends.
+            Mend::Seldom => (self.burst() / 2.0).max(1.0),
+        };
+        if self.tokens >= least {
+            self.tokens -= 1.0;
+            return true;
+        }
+        if self.share() >= 1.0 || mend == Mend::Seldom {
+            return false;
+        }
+        draw < std::mem::take(&mut self.tokens)
+    }
+}
+
 /// Returns the wait before a retry, counted from 1, drawn evenly up to the doubled limit.
 pub fn backoff(retry: u32, rng: &mut impl Rng) -> Duration {
     if retry <= 1 {
--- a/lib/src/shared_list.rs
+++ b/lib/src/shared_list.rs
@@ -56,6 +56,8 @@
     gone: BTreeMap<EndpointId, u64>,
     /// Changes up to this number are not remembered one by one.
     floor: u64,
+    /// State of the own copy that this list was taken over from, if it was.
+    relayed: Option<ListRevision>,
 }
 
 impl ListBoard {
@@ -84,12 +86,18 @@
             self.floor = number;
         }
         self.read = Some(now);
+        self.relayed = None;
         self.revision.epoch = epoch;
         if changed {
             self.revision.number = number;
         }
     }
 
+    fn is_fresh(&self, now: Instant) -> bool {
+        let age = self.read.map(|read| now.saturating_duration_since(read));
+        age.is_some_and(|age| age < FRESH)
+    }
+
     /// Returns what a copy lacks, unless this list is too old itself.
     pub fn news(&self, now: Instant, held: ListRevision) -> Option<ListNews> {
         let age = now.saturating_duration_since(self.read?);
@@ -133,6 +141,35 @@
         board.install(now, epoch, list);
     }
 
+    /// Takes over the own copy, to tell others; `epoch` names this process.
+    pub fn relay(&self, epoch: u64) {
+        let copy = self.copy.lock().expect("list lock poisoned");
+        let Some(read) = copy.read else { return };
+        let mut board = self.board.lock().expect("list lock poisoned");
+        if board.read.is_some_and(|held| held >= read) {
+            return;
+        }
+        match board.relayed == Some(copy.revision) {
+            true => board.read = Some(read),
+            false => {
+                let list: Vec<_> = copy.entries.values().cloned().collect();
+                board.install(read, epoch, &list);
+                board.relayed = Some(copy.revision);
+            }
+        }
+    }
+
+    /// Returns the state of the list that others are told.
+    pub fn revision(&self) -> ListRevision {
+        self.board.lock().expect("list lock poisoned").revision
+    }
+
+    /// Tells whether another instance lacks something of a list that is not too old.
+    pub fn has_news(&self, now: Instant, held: ListRevision) -> bool {
+        let board = self.board.lock().expect("list lock poisoned");
+        board.revision != held && board.is_fresh(now)
+    }
+
     /// Returns what another instance lacks.
     pub fn news(&self, now: Instant, held: ListRevision) -> Option<ListNews> {
         let board = self.board.lock().expect("list lock poisoned");
--- a/lib/tests/test_control_thread.rs
+++ b/lib/tests/test_control_thread.rs
@@ -21,6 +21,7 @@
 use fulmarford_lib::control::Control;
 use fulmarford_lib::control::SubmitError;
 use fulmarford_lib::control::Suspicion;
+use fulmarford_lib::control_core::DIRECT_POLLERS;
 use fulmarford_lib::control_core::PeerAddress;
 use fulmarford_lib::control_thread::Config;
 use fulmarford_lib::control_thread::ControlThread;
@@ -39,6 +40,8 @@
     peers: Vec<PeerAddress>,
     stores: Vec<SimpleStorage>,
     threads: Vec<Option<ControlThread>>,
+    /// Instances up to which all poll the leader.
+    direct: u32,
     /// For each instance, its way to each voter.
     ways: Vec<Vec<Proxy>>,
     /// Its own for each cluster, because a port that one gives up may be taken by another.
@@ -54,6 +57,10 @@
 impl Cluster {
     /// Starts voters, and other instances that hold no data.
     fn start(voters: usize, others: usize) -> Self {
+        Self::start_with(voters, others, DIRECT_POLLERS)
+    }
+
+    fn start_with(voters: usize, others: usize, direct: u32) -> Self {
         let listeners: Vec<_> = (0..voters + others).map(|_| listen()).collect();
         let peers = listeners[..voters]
             .iter()
@@ -67,6 +74,7 @@
             peers,
             stores: (0..voters).map(|_| SimpleStorage::default()).collect(),
             threads: Vec::new(),
+            direct,
             ways: Vec::new(),
             secret: format!("secret-of-the-test-cluster-{:016x}", rand::random::<u64>()),
         };
@@ -95,6 +103,7 @@
             secrets: Secrets::parse(&self.secret).expect("valid"),
             secret_file: None,
             discover: false,
+            direct: self.direct,
             terms: fulmarford_lib::command::UsageTerms::default(),
             clock: Arc::new(SystemClock),
         })
@@ -405,7 +414,16 @@
 /// and against one that holds up the others for longer than its lease.
 #[gtest]
 fn await_version_past_partition() {
-    let cluster = Cluster::start(3, 2);
+    await_version_past_partition_in(&Cluster::start(3, 2));
+}
+
+/// The same where the instances poll voters that follow.
+#[gtest]
+fn await_version_past_partition_relayed() {
+    await_version_past_partition_in(&Cluster::start_with(3, 2, 0));
+}
+
+fn await_version_past_partition_in(cluster: &Cluster) {
     cluster.await_views();
     // A leader acknowledges nothing until leases of a predecessor must have ended.
     let line = "workspace w # t";
@@ -478,7 +496,16 @@
 /// or counted twice on its way.
 #[gtest]
 fn suspicion_and_usage_travel_with_polls() {
-    let cluster = Cluster::start(3, 2);
+    suspicion_and_usage_travel_with_polls_in(&Cluster::start(3, 2));
+}
+
+/// The same where the instances poll voters that follow.
+#[gtest]
+fn suspicion_and_usage_travel_with_polls_relayed() {
+    suspicion_and_usage_travel_with_polls_in(&Cluster::start_with(3, 2, 0));
+}
+
+fn suspicion_and_usage_travel_with_polls_in(cluster: &Cluster) {
     cluster.await_views();
     for (index, endpoint) in ["e1", "e2"].into_iter().enumerate() {
         let control = cluster.control(3 + index);
@@ -595,3 +622,32 @@
         total
     }
 }
+
+/// A larger fleet: the leader answers voters only, and an instance whose voter is lost polls another one
+/// before its view expires.
+#[gtest]
+fn poll_relays() {
+    let mut cluster = Cluster::start_with(5, 12, 0);
+    cluster.await_views();
+    let leader = cluster.leader();
+    let status = |cluster: &Cluster| cluster.control(leader).status(LIMIT);
+    wait(|| (status(&cluster).relayed == 12).then_some(()));
+    let voters: Vec<_> = (0..5).map(|index| format!("i{index}")).collect();
+    wait(|| {
+        let held = status(&cluster).instances;
+        held.iter().all(|name| voters.contains(name)).then_some(())
+    });
+    for index in 0..17 {
+        wait(|| (cluster.control(index).entries() == 17).then_some(()));
+    }
+    let lost = (0..5).find(|index| *index != leader).expect("a follower");
+    cluster.stop(lost);
+    let end = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < end {
+        for index in 5..17 {
+            expect_true!(cluster.control(index).view(Instant::now()).is_ok());
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    wait(|| (status(&cluster).relayed == 12).then_some(()));
+}
--- a/lib/tests/test_retry.rs
+++ b/lib/tests/test_retry.rs
@@ -1,12 +1,17 @@
 //! Tests of the retry budget and backoff.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use fulmarford_lib::retry;
 use fulmarford_lib::retry::BUDGET_BURST;
 use fulmarford_lib::retry::BUDGET_SHARE;
+use fulmarford_lib::retry::Mend;
 use fulmarford_lib::retry::RetryBudget;
+use fulmarford_lib::retry::SharedBudget;
+use fulmarford_lib::retry::SharedTerms;
 use googletest::prelude::*;
+use rand::Rng as _;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -38,3 +43,113 @@
     );
     expect_that!(retry::backoff(40, &mut rng), le(retry::LONGEST_BACKOFF));
 }
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+fn terms(slack: f64) -> SharedTerms {
+    SharedTerms {
+        ratio: 0.2,
+        slack,
+        window: WINDOW,
+    }
+}
+
+/// A wide fleet with little traffic, of which a seventh of the runs fail: each entry sees a failure once
+/// in 23 minutes, and the request gets its second attempt.
+#[gtest]
+fn spend_wide_fleet() {
+    let mut rng = StdRng::seed_from_u64(11);
+    let entries = 200;
+    let start = Instant::now();
+    let mut fleet = vec![SharedBudget::new(start, terms(440.0), entries); 200];
+    let (mut failed, mut repeated) = (0, 0);
+    for second in 0..7_000 {
+        let now = start + Duration::from_secs(second);
+        let budget = &mut fleet[rng.random_range(0..200)];
+        budget.earn(now, entries);
+        if rng.random_range(0..7) == 0 {
+            failed += 1;
+            let draw = rng.random_range(0.0..1.0);
+            repeated += u32::from(budget.spend(now, entries, Mend::Likely, draw));
+        }
+    }
+    expect_that!(f64::from(repeated), ge(0.95 * f64::from(failed)));
+}
+
+/// A whole service fails while every entry wants to repeat all the time: in no window do the repeats of
+/// all exceed the bound, whatever the share of each is and whether entries are cut off.
+#[gtest]
+fn spend_outage_below_bound() {
+    let cases = [
+        (8, 56.0),
+        (191, 422.0),
+        (1_270, 2_580.0),
+        (1_270, 1_500.0),
+        (1_270, 600.0),
+    ];
+    for (entries, slack) in cases {
+        let mut rng = StdRng::seed_from_u64(12);
+        let start = Instant::now();
+        let mut fleet = vec![SharedBudget::new(start, terms(slack), entries); entries as usize];
+        let step = Duration::from_millis(200);
+        let per = (WINDOW.as_millis() / step.as_millis()) as usize;
+        let (mut repeats, mut requests) = (Vec::new(), Vec::new());
+        for tick in 0..40 * per {
+            let now = start + step * tick as u32;
+            let (mut spent, mut asked) = (0, 0);
+            for (number, budget) in fleet.iter_mut().enumerate() {
+                // In the middle a third is cut off, and the rest count only themselves.
+                let is_cut = (15 * per..25 * per).contains(&tick);
+                let known = match is_cut && number % 3 > 0 {
+                    true => entries - entries / 3,
+                    false => entries,
+                };
+                if rng.random_range(0..5) == 0 {
+                    asked += 1;
+                    budget.earn(now, known);
+                }
+                // The outage begins late, when all have saved what they can.
+                if tick >= 4 * per {
+                    let draw = rng.random_range(0.0..1.0);
+                    spent += u32::from(budget.spend(now, known, Mend::Likely, draw));
+                }
+            }
+            repeats.push(spent);
+            requests.push(asked);
+            if tick >= per {
+                let from = tick - per;
+                let spent: u32 = repeats[from + 1..].iter().sum();
+                let asked: u32 = requests[from + 1..].iter().sum();
+                let bound = 0.2 * f64::from(asked) + slack;
+                assert!(f64::from(spent) <= bound, "{entries}: {spent} of {bound}");
+            }
+        }
+    }
+}
+
+/// Errors that mostly belong to the request leave half of a budget to what another endpoint can mend.
+#[gtest]
+fn spend_seldom_leaves_half() {
+    let now = Instant::now();
+    let mut budget = SharedBudget::new(now, terms(80.0), 4);
+    let count = |budget: &mut SharedBudget, mend| {
+        std::iter::repeat_with(|| budget.spend(now, 4, mend, 0.0))
+            .take_while(|spent| *spent)
+            .count()
+    };
+    expect_that!(count(&mut budget, Mend::Seldom), eq(6));
+    expect_that!(count(&mut budget, Mend::Likely), eq(4));
+}
+
+/// Until the number of instances is known, a share is that of the largest fleet, and no longer.
+#[gtest]
+fn spend_unknown_number() {
+    let now = Instant::now();
+    let mut budget = SharedBudget::new(now, terms(422.0), 0);
+    expect_that!(budget.spend(now, 0, Mend::Likely, 0.5), eq(false));
+    // Half of a share of 2.2 comes back in each window.
+    let soon = now + WINDOW / 2;
+    expect_that!(budget.spend(soon, 191, Mend::Likely, 0.5), eq(false));
+    let later = now + WINDOW;
+    expect_that!(budget.spend(later, 191, Mend::Likely, 0.5), eq(true));
+}
--- a/lib/tests/test_seeds.rs
+++ b/lib/tests/test_seeds.rs
@@ -11,6 +11,7 @@
 use fulmarford_lib::command::Reply;
 use fulmarford_lib::command::UsageTerms;
 use fulmarford_lib::control::Control;
+use fulmarford_lib::control_core::DIRECT_POLLERS;
 use fulmarford_lib::control_core::PeerAddress;
 use fulmarford_lib::control_thread;
 use fulmarford_lib::control_thread::Config;
@@ -69,6 +70,7 @@
             address: member.address,
             peers: seeds,
             discover: true,
+            direct: DIRECT_POLLERS,
             terms: UsageTerms::default(),
             store: store.map(|store| -> Box<dyn LogStore + Send> { Box::new(store) }),
             bootstrap,
