Learn the reading rate from all instances, spread equal choices, and share a long list of endpoints

Change: an observation below the known rate counts by a hundredth, the first twelve by more, and the rate that all instances saw goes before the own one; instances that saw none say nothing. A random order decides among endpoints within 10 ms. Relays keep the numbers of the leader's list, so an instance that moves gets changes only; each page is told as it is read; an entry waits before it reads itself, by its part of the platform's rate, and reads no more pages.

--- a/lib/src/control_thread.rs
+++ b/lib/src/control_thread.rs
@@ -367,7 +367,11 @@
         demand: core.shared.shares.demand(sent),
         work,
         sightings: core.shared.told.take(),
-        list: core.shared.list.held(),
+        list: match count {
+            // A voter keeps the list for others only.
+            Some(_) => core.shared.list.revision(),
+            None => core.shared.list.held(),
+        },
     });
     let answer = tokio::select! {
         answer = link.poll(&request, POLL_TIMEOUT) => answer,
@@ -417,9 +421,10 @@
     }
     core.shared.heard.append(news.sightings);
     if let Some(list) = news.list {
-        core.shared.list.learn(sent, list);
         if core.can_relay() {
-            core.shared.list.relay(core.me.number);
+            core.shared.list.relay(sent, &list);
+        } else {
+            core.shared.list.learn(sent, list);
         }
     }
     if let Some(suspects) = &news.suspects {
--- a/lib/src/discovery.rs
+++ b/lib/src/discovery.rs
@@ -1,4 +1,8 @@
 //! Keeps the list of endpoints of this instance: the shared one, or else the platform's.
+//!
+//! In a large fleet no instance could read a long list at the platform's rate of calls if all did. An
+//! instance without a shared list therefore waits the longer the more instances there are, reads no more
+//! pages than its part of the rate allows, and uses a part of the list only if it knows none.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,6 +24,7 @@
 use crate::dialect::ListedEndpoint;
 use crate::fleet::Fleet;
 use crate::platform::Platform;
+use crate::platform::PlatformError;
 use crate::shared_list::ListRevision;
 
 /// Shortest interval between two readings; a leaving endpoint is then known well before the
@@ -29,12 +34,33 @@
 /// Interval at which the shared list is looked at, that of the polls that bring it.
 const SHARED_PERIOD: Duration = Duration::from_millis(250);
 
-/// Interval after a failed reading.
+/// Interval after a failed reading; it doubles with each further one.
 const RETRY: Duration = Duration::from_millis(300);
 
+/// Longest interval after failed readings.
+const MAX_RETRY: Duration = Duration::from_secs(5);
+
+/// Time after the start in which the shared list is expected: an election and one reading of the leader.
+const START_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Instances that are assumed until their number is known.
+const UNKNOWN_ENTRIES: f64 = 100.0;
+
+/// Time in which each instance may read the pages of its part of the rate.
+const OWN_PERIOD: Duration = Duration::from_secs(10);
+
+/// Times that the leader asks for a page which the platform has no calls left for.
+const PAGE_TRIES: u32 = 20;
+
 /// Part of the platform's rate of calls that readings of the list may take.
 const RATE_SHARE: f64 = 0.6;
 
+/// Pause before a page is asked for again; at the platform's usual rate two calls are accepted meanwhile.
+const PAGE_PAUSE: Duration = Duration::from_millis(50);
+
+/// Status by which the platform says that it accepts no more calls at present.
+const TOO_MANY: u16 = 429;
+
 /// Pages that are read at most; it bounds a list whose pages lead in a circle.
 const MAX_PAGES: usize = 1_000;
 
@@ -84,58 +110,103 @@
     }
 }
 
+/// State of the readings of this instance.
+struct Reader {
+    platform: Platform,
+    /// Failed readings in a row.
+    failures: u32,
+    held: ListRevision,
+    /// When the shared list was missing first, and for how long that is borne.
+    missing: Option<(Instant, Duration)>,
+    /// Whether any list is known.
+    known: bool,
+}
+
 fn run(config: &Config, stopped: &AtomicBool) {
-    let platform = Platform::new(config.platform, config.clock.clone());
-    let mut available = true;
-    let mut held = ListRevision::default();
+    let mut reader = Reader {
+        platform: Platform::new(config.platform, config.clock.clone()),
+        failures: 0,
+        held: ListRevision::default(),
+        missing: None,
+        known: false,
+    };
     while !stopped.load(Ordering::Relaxed) {
-        let now = config.clock.now();
-        let pause = match config.control.list().fresh(now) {
-            Some((read, revision, list)) => {
-                if revision != held {
-                    held = revision;
-                    install(config, read, list);
-                }
-                let mut fleet = config.fleet.lock().expect("fleet lock poisoned");
-                fleet.confirm(read);
-                // Work fades although nobody asks.
-                config.control.set_work(fleet.works(now));
-                SHARED_PERIOD
-            }
-            None => {
-                // What the others read after this counts as a change.
-                held = ListRevision::default();
-                read_own(config, &platform, &mut available)
-            }
-        };
+        let pause = reader.step(config);
         thread::park_timeout(pause.mul_f64(rand::rng().random_range(0.9..1.1)));
     }
 }
 
-/// Reads the platform's list, because no instance shares one; returns the pause until the next reading.
-fn read_own(config: &Config, platform: &Platform, available: &mut bool) -> Duration {
-    match read_list(config.dialect.as_ref(), platform) {
-        Ok((list, pages)) => {
-            if !std::mem::replace(available, true) {
-                tracing::info!("the endpoint list can be read again");
+impl Reader {
+    /// Takes the shared list, or else reads the platform's; returns the pause until the next look.
+    fn step(&mut self, config: &Config) -> Duration {
+        let now = config.clock.now();
+        let Some((read, revision, list)) = config.control.list().fresh(now) else {
+            let (since, wait) = *self.missing.get_or_insert_with(|| {
+                let spread = own_pause(config, 1).mul_f64(rand::rng().random_range(0.0..1.0));
+                let patience = match self.known {
+                    true => Duration::ZERO,
+                    false => START_PATIENCE,
+                };
+                (now, patience + spread)
+            });
+            if now.saturating_duration_since(since) < wait {
+                return SHARED_PERIOD;
             }
-            install(config, config.clock.now(), list);
-            pause(config, pages)
+            // What the others read after this counts as a change.
+            self.held = ListRevision::default();
+            return self.read_own(config);
+        };
+        self.missing = None;
+        self.known = true;
+        if revision != self.held {
+            self.held = revision;
+            install(config, read, list);
         }
-        Err(error) => {
-            if std::mem::replace(available, false) {
-                tracing::warn!(%error, "cannot read the endpoint list");
+        let mut fleet = config.fleet.lock().expect("fleet lock poisoned");
+        fleet.confirm(read);
+        // Work fades although nobody asks.
+        config.control.set_work(fleet.works(now));
+        SHARED_PERIOD
+    }
+
+    /// Reads the platform's list, because no instance shares one.
+    fn read_own(&mut self, config: &Config) -> Duration {
+        let calls = config.rate * RATE_SHARE * OWN_PERIOD.as_secs_f64();
+        let most = ((calls / entries(config)) as usize).clamp(1, MAX_PAGES);
+        match read_pages(config.dialect.as_ref(), &self.platform, most, 1, |_| {}) {
+            Ok(reading) => {
+                if std::mem::take(&mut self.failures) > 0 {
+                    tracing::info!("the endpoint list can be read again");
+                }
+                if reading.whole || !self.known {
+                    self.known = true;
+                    install(config, config.clock.now(), reading.list);
+                }
+                own_pause(config, reading.pages).max(PERIOD)
+            }
+            Err(error) => {
+                if self.failures == 0 {
+                    tracing::warn!(%error, "cannot read the endpoint list");
+                }
+                self.failures = self.failures.saturating_add(1);
+                (RETRY * (1 << self.failures.min(5))).min(MAX_RETRY)
             }
-            RETRY
         }
     }
 }
 
+/// Returns the number of instances that share the rate of calls.
+fn entries(config: &Config) -> f64 {
+    match config.control.entries() {
+        0 => UNKNOWN_ENTRIES,
+        entries => f64::from(entries),
+    }
+}
+
 /// Returns the interval that keeps all instances together below the platform's rate.
-fn pause(config: &Config, pages: usize) -> Duration {
-    let entries = f64::from(config.control.entries().max(1));
-    let least = entries * pages as f64 / (config.rate * RATE_SHARE).max(0.1);
-    PERIOD.max(Duration::from_secs_f64(least))
+fn own_pause(config: &Config, pages: usize) -> Duration {
+    let least = entries(config) * pages as f64 / (config.rate * RATE_SHARE).max(0.1);
+    Duration::from_secs_f64(least)
 }
 
 fn install(config: &Config, now: Instant, list: Vec<ListedEndpoint>) {
@@ -156,24 +227,69 @@
     }
 }
 
-/// Reads all pages.
+/// What a reading of the list brought.
+#[derive(Debug)]
+pub struct Reading {
+    /// The endpoints.
+    pub list: Vec<ListedEndpoint>,
+    /// Pages that were read.
+    pub pages: usize,
+    /// Whether they are all pages.
+    pub whole: bool,
+}
+
+/// Reads all pages, each of which `seen` gets as it comes.
 pub fn read_list(
     dialect: &dyn Dialect,
     platform: &Platform,
-) -> Result<(Vec<ListedEndpoint>, usize), Box<dyn std::error::Error>> {
-    let mut list = Vec::new();
+    seen: impl FnMut(&[ListedEndpoint]),
+) -> Result<Reading, Box<dyn std::error::Error>> {
+    let reading = read_pages(dialect, platform, MAX_PAGES, PAGE_TRIES, seen)?;
+    match reading.whole {
+        true => Ok(reading),
+        false => Err("the list has no end".into()),
+    }
+}
+
+/// Reads up to `most` pages; a page that the platform has no calls left for is asked for up to `tries`
+/// times, so that a long list is not begun anew.
+fn read_pages(
+    dialect: &dyn Dialect,
+    platform: &Platform,
+    most: usize,
+    tries: u32,
+    mut seen: impl FnMut(&[ListedEndpoint]),
+) -> Result<Reading, Box<dyn std::error::Error>> {
+    let mut reading = Reading {
+        list: Vec::new(),
+        pages: 0,
+        whole: false,
+    };
     let mut next: Option<String> = None;
-    for pages in 1..=MAX_PAGES {
+    let mut left = tries;
+    while reading.pages < most {
         let call = dialect.list_call(next.as_deref());
-        let page = dialect.list_page(&platform.read(&call)?)?;
+        let body = match platform.read(&call) {
+            Err(PlatformError::Refused { status, .. }) if status == TOO_MANY && left > 1 => {
+                left -= 1;
+                thread::sleep(PAGE_PAUSE);
+                continue;
+            }
+            body => body?,
+        };
+        left = tries;
+        let page = dialect.list_page(&body)?;
+        reading.pages += 1;
         if page.skipped > 0 {
             tracing::debug!(skipped = page.skipped, "unreadable entries of the list");
         }
-        list.extend(page.endpoints);
+        seen(&page.endpoints);
+        reading.list.extend(page.endpoints);
         next = page.next;
         if next.is_none() {
-            return Ok((list, pages));
+            reading.whole = true;
+            break;
         }
     }
-    Err("the list has no end".into())
+    Ok(reading)
 }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -22,6 +22,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::affinity;
 use crate::dialect::AnswerFacts;
 use crate::dialect::ListedEndpoint;
 use crate::dialect::PromptPart;
@@ -37,16 +38,13 @@
 use crate::sighting::NOTABLE_TOKENS;
 use crate::sighting::Sighting;
 use crate::work::LONG_PROMPT;
+use crate::work::READ_RATE;
 use crate::work::Rate;
 use crate::work::Work;
 use crate::work::Works;
 
 pub use crate::fleet_endpoint::CallEnd;
 
-/// Prompt tokens that an engine reads in a millisecond, until it was observed; a usual figure for
-/// large models.
-const READ_RATE: f64 = 50.0;
-
 /// Bounds of an observed reading rate, against distortion by queues and by cached prompts.
 const READ_RATES: std::ops::RangeInclusive<f64> = 5.0..=1_000.0;
 
@@ -57,9 +55,15 @@
 /// as that of a caller who asks again, seems to be read at any rate.
 const MOST_FASTER: f64 = 2.0;
 
-/// Part of the known rate that is forgotten with an observation below it: requests of other
-/// instances make most observations too low, so they prove little.
-const RATE_FADES: f64 = 0.001;
+/// Weight of an observation below the known reading rate: queues and unknown prompts make most of them too
+/// low, so each proves little, and the known rate settles where one in 30 is above it.
+const SLOWER_WEIGHT: f64 = 0.01;
+
+/// Weight of the first observations below an assumed rate, of which an instance of a large fleet sees few.
+const FIRST_WEIGHT: f64 = 0.08;
+
+/// Number of those first observations.
+const FIRST_COUNT: u32 = 12;
 
 /// Fewest unread tokens from which the reading rate is observed; below it the steps of the running
 /// requests dominate.
@@ -106,6 +110,10 @@
 /// Memory of an engine in tokens, where none is stated.
 const DEFAULT_MEMORY: u64 = 200_000;
 
+/// Largest random disadvantage in milliseconds. Instances that know the same would all choose the same
+/// endpoint among equal ones; the differences that this hides are below the steps of an engine.
+const SPREAD_DELAY: f64 = 10.0;
+
 /// A request that asks for an endpoint.
 #[derive(Clone, Debug)]
 pub struct Want<'a> {
@@ -125,6 +133,8 @@
     pub urgency: u8,
     /// A random number below 1, by which it is among the requests that are turned away.
     pub draw: f64,
+    /// A random number that orders endpoints which are equally good.
+    pub spread: u64,
 }
 
 /// Where a request goes.
@@ -180,7 +190,8 @@
     endpoints: BTreeMap<EndpointId, Endpoint>,
     services: HashMap<ServiceId, Vec<EndpointId>>,
     engines: HashMap<ServiceId, EngineKind>,
-    rates: HashMap<ServiceId, f64>,
+    /// Reading rates in tokens a millisecond, and the observations they come from.
+    rates: HashMap<ServiceId, (f64, u32)>,
     flows: HashMap<ServiceId, Flows>,
     /// The most urgent request that was turned away lately, and when.
     turned: HashMap<ServiceId, (Instant, u8)>,
@@ -286,7 +297,7 @@
         if self.yields(now, want) {
             return Err(NoChoice::Yields);
         }
-        let rate = self.rates.get(want.service).copied().unwrap_or(READ_RATE);
+        let rate = self.rate(want);
         if want.draw < self.excess(now, want, rate) {
             return Err(NoChoice::Full);
         }
@@ -315,6 +326,8 @@
             if copied > 0 {
                 score += f64::from(copied) / holders.rate * COPY_WEIGHT;
             }
+            let draw = affinity::mix(want.spread, endpoint.hash) as f64 / u64::MAX as f64;
+            score += draw * SPREAD_DELAY;
             if !suits(endpoint) {
                 score += if is_long { KEPT_DELAY } else { READER_DELAY };
             }
@@ -341,6 +354,15 @@
         })
     }
 
+    /// Returns the reading rate of a service's engines: what all instances saw, or else this one.
+    fn rate(&self, want: &Want<'_>) -> f64 {
+        let own = self.rates.get(want.service).map(|(rate, _)| *rate);
+        match want.total.rate > 0.0 {
+            true => want.total.rate,
+            false => own.unwrap_or(READ_RATE),
+        }
+    }
+
     /// Returns why no endpoint can be chosen at all.
     fn nowhere(&self, now: Instant, want: &Want<'_>) -> NoChoice {
         let ends = self.of(want.service).filter_map(Endpoint::resumes);
@@ -429,7 +451,7 @@
                 long: flows.long.get(now),
                 short: flows.short.get(now),
                 calls: calls as f64,
-                rate: self.rates.get(service).copied().unwrap_or(READ_RATE),
+                rate: self.rates.get(service).map_or(0.0, |(rate, _)| *rate),
             };
             (service.clone(), work)
         };
@@ -524,12 +546,15 @@
             let seen = f64::from(call.certain) / took.max(1.0);
             let seen = seen.clamp(*READ_RATES.start(), *READ_RATES.end());
             let service = endpoint.listed.service.clone();
-            let rate = self.rates.entry(service).or_insert(READ_RATE);
+            let (rate, count) = self.rates.entry(service).or_insert((READ_RATE, 0));
+            *count = count.saturating_add(1);
             let seen = seen.min(*rate * MOST_FASTER);
-            *rate += match seen > *rate {
-                true => (seen - *rate) * FASTER_WEIGHT,
-                false => (seen - *rate) * RATE_FADES,
+            let weight = match seen > *rate {
+                true => FASTER_WEIGHT,
+                false if *count <= FIRST_COUNT => FIRST_WEIGHT,
+                false => SLOWER_WEIGHT,
             };
+            *rate += (seen - *rate) * weight;
         }
     }
 
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -294,6 +294,7 @@
                 // What was accepted once is not turned away.
                 _ => 1.0,
             },
+            spread: rand::rng().random(),
         };
         let choice = match fleet.choose(now, &want) {
             Err(NoChoice::Nowhere | NoChoice::Paused { .. }) if !self.excluded.is_empty() => {
--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use rand::Rng as _;
 use tokio::sync::mpsc::Sender;
 use tokio::time::Instant;
 use tokio::time::timeout;
@@ -204,6 +205,7 @@
             total: Work::default(),
             urgency: self.rank,
             draw: 1.0,
+            spread: rand::rng().random(),
         };
         let flight = {
             let mut fleet = forwarder.fleet();
--- a/lib/src/shared_list.rs
+++ b/lib/src/shared_list.rs
@@ -12,16 +12,26 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::affinity;
 use crate::dialect::ListedEndpoint;
 use crate::ids::EndpointId;
 
 /// Age from which a shared list is not used: two missed readings of the leader.
 const FRESH: Duration = Duration::from_millis(2_500);
 
-/// Endpoints that are gone and remembered, for instances that have not heard; beyond it they get the
-/// whole list.
+/// Time added to that for each endpoint, since the leader reads a long list page by page, at the rate that
+/// the platform accepts: 50 endpoints in a page, 30 pages a second.
+const FRESH_EACH: Duration = Duration::from_micros(700);
+
+/// Endpoints that are gone and remembered, for instances that have not heard; beyond it and beyond the
+/// length of the list they get the whole list.
 const MAX_GONE: usize = 256;
 
+/// Returns the age from which a list of this length is not used.
+fn fresh_time(length: usize) -> Duration {
+    FRESH + FRESH_EACH * u32::try_from(length).unwrap_or(u32::MAX)
+}
+
 /// State of a copy of the list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListRevision {
@@ -34,6 +44,8 @@
 /// What brings a copy of the list up to date.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ListNews {
+    /// State of the copy that it brings up to date.
+    pub since: ListRevision,
     /// State of the list after it.
     pub revision: ListRevision,
     /// Time since the list was read.
@@ -56,23 +68,20 @@
     gone: BTreeMap<EndpointId, u64>,
     /// Changes up to this number are not remembered one by one.
     floor: u64,
-    /// State of the own copy that this list was taken over from, if it was.
-    relayed: Option<ListRevision>,
+    /// State of another process's list that this one goes on from with the same numbers.
+    prior: Option<ListRevision>,
+    /// Whether the newest state was read here rather than told by another process.
+    reads: bool,
+    /// How often this process began to read.
+    turns: u64,
 }
 
 impl ListBoard {
     /// Takes in a list that was read now; `epoch` names this process.
     pub fn install(&mut self, now: Instant, epoch: u64, list: &[ListedEndpoint]) {
+        self.merge(epoch, list);
         let number = self.revision.number + 1;
         let mut changed = false;
-        for listed in list {
-            if self.entries.get(&listed.id).map(|(_, held)| held) != Some(listed) {
-                self.entries
-                    .insert(listed.id.clone(), (number, listed.clone()));
-                self.gone.remove(&listed.id);
-                changed = true;
-            }
-        }
         let known: std::collections::HashSet<_> = list.iter().map(|listed| &listed.id).collect();
         let gone = self.entries.keys().filter(|id| !known.contains(id));
         let gone: Vec<EndpointId> = gone.cloned().collect();
@@ -81,34 +90,95 @@
             self.gone.insert(id, number);
             changed = true;
         }
-        if self.gone.len() > MAX_GONE {
-            self.gone.clear();
-            self.floor = number;
-        }
-        self.read = Some(now);
-        self.relayed = None;
-        self.revision.epoch = epoch;
         if changed {
             self.revision.number = number;
         }
+        self.bound_gone();
+        self.read = Some(now);
+    }
+
+    /// Takes in a page of a list that is being read, so that its changes are told at once.
+    pub fn merge(&mut self, epoch: u64, page: &[ListedEndpoint]) {
+        if !std::mem::replace(&mut self.reads, true) {
+            self.prior = Some(self.revision).filter(|held| held.epoch != 0);
+            // The numbers of an earlier turn may be taken by other states.
+            self.revision.epoch = match self.turns {
+                0 => epoch,
+                turn => affinity::mix(epoch, turn),
+            };
+            self.turns += 1;
+        }
+        let number = self.revision.number + 1;
+        for listed in page {
+            if self.entries.get(&listed.id).map(|(_, held)| held) != Some(listed) {
+                self.entries
+                    .insert(listed.id.clone(), (number, listed.clone()));
+                self.gone.remove(&listed.id);
+                self.revision.number = number;
+            }
+        }
+    }
+
+    /// Takes in what another process told of its list, whose numbers are kept, so that copies may move
+    /// between processes that tell the same list.
+    pub fn learn(&mut self, read: Option<Instant>, news: &ListNews) {
+        let number = news.revision.number;
+        self.reads = false;
+        if news.whole || news.since != self.revision {
+            self.entries.clear();
+            self.gone.clear();
+            (self.floor, self.prior) = (number, None);
+        } else if news.revision.epoch != self.revision.epoch {
+            self.prior = Some(self.revision);
+        }
+        for listed in &news.changed {
+            self.gone.remove(&listed.id);
+            let entry = (number, listed.clone());
+            self.entries.insert(listed.id.clone(), entry);
+        }
+        for id in &news.gone {
+            self.entries.remove(id);
+            self.gone.insert(id.clone(), number);
+        }
+        self.revision = news.revision;
+        self.bound_gone();
+        self.read = read;
+    }
+
+    fn bound_gone(&mut self) {
+        if self.gone.len() > MAX_GONE.max(self.entries.len()) {
+            self.gone.clear();
+            self.floor = self.revision.number;
+        }
+    }
+
+    /// Tells whether changes since this state are known one by one.
+    fn follows(&self, held: ListRevision) -> bool {
+        let is_prior = self
+            .prior
+            .is_some_and(|prior| held.epoch == prior.epoch && held.number <= prior.number);
+        let is_same = held.epoch == self.revision.epoch;
+        (is_same || is_prior) && held.number >= self.floor
     }
 
     fn is_fresh(&self, now: Instant) -> bool {
         let age = self.read.map(|read| now.saturating_duration_since(read));
-        age.is_some_and(|age| age < FRESH)
+        age.is_some_and(|age| age < fresh_time(self.entries.len()))
     }
 
-    /// Returns what a copy lacks, unless this list is too old itself.
+    /// Returns what a copy lacks, unless this list is too old itself or behind the copy.
     pub fn news(&self, now: Instant, held: ListRevision) -> Option<ListNews> {
         let age = now.saturating_duration_since(self.read?);
-        if age >= FRESH {
+        let is_ahead = held.epoch == self.revision.epoch && held.number > self.revision.number;
+        if !self.is_fresh(now) || is_ahead {
             return None;
         }
-        let whole = held.epoch != self.revision.epoch || held.number < self.floor;
+        let whole = !self.follows(held);
         let since = if whole { 0 } else { held.number };
         let changed = self.entries.values().filter(|(at, _)| *at > since);
         let gone = self.gone.iter().filter(|(_, at)| !whole && **at > since);
         Some(ListNews {
+            since: held,
             revision: self.revision,
             age,
             whole,
@@ -141,21 +211,18 @@
         board.install(now, epoch, list);
     }
 
-    /// Takes over the own copy, to tell others; `epoch` names this process.
-    pub fn relay(&self, epoch: u64) {
-        let copy = self.copy.lock().expect("list lock poisoned");
-        let Some(read) = copy.read else { return };
+    /// Takes in a page of the list that this instance is reading, to tell others.
+    pub fn publish_page(&self, epoch: u64, page: &[ListedEndpoint]) {
         let mut board = self.board.lock().expect("list lock poisoned");
-        if board.read.is_some_and(|held| held >= read) {
-            return;
-        }
-        match board.relayed == Some(copy.revision) {
-            true => board.read = Some(read),
-            false => {
-                let list: Vec<_> = copy.entries.values().cloned().collect();
-                board.install(read, epoch, &list);
-                board.relayed = Some(copy.revision);
-            }
+        board.merge(epoch, page);
+    }
+
+    /// Takes in news that were asked for at `asked`, to tell others; those that follow another state
+    /// than the held one are passed over.
+    pub fn relay(&self, asked: Instant, news: &ListNews) {
+        let mut board = self.board.lock().expect("list lock poisoned");
+        if news.whole || news.since == board.revision {
+            board.learn(asked.checked_sub(news.age).or(Some(asked)), news);
         }
     }
 
@@ -167,7 +234,8 @@
     /// Tells whether another instance lacks something of a list that is not too old.
     pub fn has_news(&self, now: Instant, held: ListRevision) -> bool {
         let board = self.board.lock().expect("list lock poisoned");
-        board.revision != held && board.is_fresh(now)
+        let is_ahead = board.revision.epoch == held.epoch && board.revision.number < held.number;
+        board.revision != held && !is_ahead && board.is_fresh(now)
     }
 
     /// Returns what another instance lacks.
@@ -186,7 +254,7 @@
         let mut copy = self.copy.lock().expect("list lock poisoned");
         if news.whole {
             copy.entries.clear();
-        } else if copy.revision.epoch != news.revision.epoch {
+        } else if copy.revision != news.since {
             tracing::debug!("changes of another list than the held one");
             return;
         }
@@ -204,7 +272,8 @@
     pub fn fresh(&self, now: Instant) -> Option<(Instant, ListRevision, Vec<ListedEndpoint>)> {
         let copy = self.copy.lock().expect("list lock poisoned");
         let read = copy.read?;
-        let is_fresh = now.saturating_duration_since(read) < FRESH;
+        let limit = fresh_time(copy.entries.len());
+        let is_fresh = now.saturating_duration_since(read) < limit;
         is_fresh.then(|| {
             (
                 read,
--- a/lib/src/site_duties.rs
+++ b/lib/src/site_duties.rs
@@ -283,10 +283,12 @@
         {
             return;
         }
-        match discovery::read_list(self.config.dialect.as_ref(), &self.buyer.platform) {
-            Ok((list, _)) => {
-                self.config.control.list().publish(now, self.epoch, &list);
-                self.buyer.listed = Some((now, list));
+        let (dialect, list) = (self.config.dialect.as_ref(), self.config.control.list());
+        let publish = |page: &[ListedEndpoint]| list.publish_page(self.epoch, page);
+        match discovery::read_list(dialect, &self.buyer.platform, publish) {
+            Ok(reading) => {
+                list.publish(now, self.epoch, &reading.list);
+                self.buyer.listed = Some((now, reading.list));
             }
             Err(error) => {
                 // An old list would lead to orders for a stock that is not there.
--- a/lib/src/stock.rs
+++ b/lib/src/stock.rs
@@ -19,6 +19,7 @@
 use crate::ids::ZoneId;
 use crate::route_table::Scaling;
 use crate::route_table::Service;
+use crate::work::READ_RATE;
 use crate::work::Work;
 
 /// Use of an engine by long prompts at which their callers still wait little.
@@ -111,7 +112,11 @@
             return;
         }
         let slots = service.engine.as_ref().map_or(1, |engine| engine.slots);
-        let engine = work.rate.max(1.0) * 1_000.0;
+        let rate = match work.rate > 0.0 {
+            true => work.rate,
+            false => READ_RATE,
+        };
+        let engine = rate * 1_000.0;
         let reading = work.long / (engine * LONG_USE) + work.short / (engine * SHORT_USE);
         let running = work.calls / (f64::from(slots.max(1)) * SLOT_USE);
         let need = reading.max(running);
--- a/lib/src/work.rs
+++ b/lib/src/work.rs
@@ -17,6 +17,10 @@
 /// tokens, and each chunk delays the tokens of every request beside it.
 pub const LONG_PROMPT: u32 = 4_000;
 
+/// Prompt tokens that an engine reads in a millisecond, until it was observed; a usual figure for
+/// large models.
+pub const READ_RATE: f64 = 50.0;
+
 /// Time in which the memory of past requests fades to a part of 1/e.
 const FADE: Duration = Duration::from_secs(2);
 
@@ -32,7 +36,7 @@
     pub short: f64,
     /// Requests at endpoints.
     pub calls: f64,
-    /// Prompt tokens that an engine was seen to read in a millisecond.
+    /// Prompt tokens that an engine was seen to read in a millisecond, 0 where none was seen.
     pub rate: f64,
 }
 
@@ -40,7 +44,11 @@
     /// Adds the part of an instance; the rate is the mean by tokens, so that no single instance decides
     /// how many endpoints are needed.
     fn add(&mut self, other: &Self) {
-        let (own, more) = (self.long + self.short, other.long + other.short);
+        let seen = |work: &Self| match work.rate > 0.0 {
+            true => work.long + work.short,
+            false => 0.0,
+        };
+        let (own, more) = (seen(self), seen(other));
         self.rate = match own + more > 0.0 {
             true => (self.rate * own + other.rate * more) / (own + more),
             false => self.rate.max(other.rate),
--- a/lib/tests/test_shared_list.rs
+++ b/lib/tests/test_shared_list.rs
@@ -88,7 +88,103 @@
     );
 }
 
+fn relayed(from: &SharedList, to: &SharedList, now: Instant) {
+    if let Some(news) = from.news(now, to.revision()) {
+        to.relay(now, &news);
+    }
+}
+
+/// A list of 3,000 endpoints: an instance whose relay is lost gets changes from another one, not the whole
+/// list, also when a voter that relayed has become the leader.
+#[gtest]
+fn news_after_move_between_relays() {
+    let now = Instant::now();
+    let lists: Vec<_> = (0..4).map(|_| SharedList::default()).collect();
+    let [leader, first, second, entry] = &lists[..] else {
+        panic!("four lists")
+    };
+    let mut list: Vec<_> = (0..3_000_u16)
+        .map(|n| ListedEndpoint {
+            id: format!("i-{n}").into(),
+            ..listed(1, false)
+        })
+        .collect();
+    leader.publish(now, 1, &list);
+    relayed(leader, first, now);
+    relayed(leader, second, now);
+    entry.learn(now, first.news(now, entry.held()).expect("news"));
+    list[7].leaving = true;
+    leader.publish(now, 1, &list);
+    relayed(leader, second, now);
+    let news = second.news(now, entry.held()).expect("news");
+    expect_that!((news.whole, news.changed.len()), eq((false, 1)));
+    entry.learn(now, news);
+    // The second relay leads now, and the first one follows it.
+    list.remove(9);
+    second.publish(now, 2, &list);
+    let news = second.news(now, entry.held()).expect("news");
+    expect_that!(
+        (news.whole, news.changed.len(), news.gone.len()),
+        eq((false, 0, 1))
+    );
+    entry.learn(now, news);
+    let news = second.news(now, first.revision()).expect("news");
+    expect_that!(
+        (news.whole, news.changed.len(), news.gone.len()),
+        eq((false, 1, 1))
+    );
+    relayed(second, first, now);
+    let news = first.news(now, entry.held()).expect("news");
+    expect_that!(
+        (news.whole, news.changed.len(), news.gone.len()),
+        eq((false, 0, 0))
+    );
+}
+
+/// The leader reads a long list page by page: what a page changes is told before the last one came.
+#[gtest]
+fn news_of_page() {
+    let now = Instant::now();
+    let (leader, entry) = (SharedList::default(), SharedList::default());
+    leader.publish(now, 1, &[listed(1, false), listed(2, false)]);
+    entry.learn(now, leader.news(now, entry.held()).expect("news"));
+    expect_that!(leader.has_news(now, entry.held()), eq(false));
+    leader.publish_page(1, &[listed(1, true)]);
+    expect_that!(leader.has_news(now, entry.held()), eq(true));
+    let news = leader.news(now, entry.held()).expect("news");
+    expect_that!(
+        (news.whole, news.changed.len(), news.gone.len()),
+        eq((false, 1, 0))
+    );
+}
+
 proptest! {
+    /// Whoever reads the list, whoever relays it and whichever answers are lost: after each answer a copy
+    /// is the list of the one that answered.
+    #[test]
+    fn learn_through_any_relays(
+        steps in proptest::collection::vec((0..4_usize, 0..4_usize, proptest::option::of(proptest::collection::btree_map(0..12_u8, any::<bool>(), 0..10))), 1..80)
+    ) {
+        let now = Instant::now();
+        let voters: Vec<_> = (0..4).map(|_| SharedList::default()).collect();
+        let entry = SharedList::default();
+        for (from, to, read) in steps {
+            if let Some(list) = read {
+                let list: Vec<_> = list.into_iter().map(|(n, leaving)| listed(n, leaving)).collect();
+                voters[from].publish(now, from as u64 + 1, &list);
+            }
+            if from == to {
+                let Some(news) = voters[from].news(now, entry.held()) else { continue };
+                entry.learn(now, news);
+                let probe = SharedList::default();
+                probe.learn(now, voters[from].news(now, probe.held()).expect("news"));
+                prop_assert_eq!(names(&entry, now), names(&probe, now));
+            } else {
+                relayed(&voters[from], &voters[to], now);
+            }
+        }
+    }
+
     /// Whatever is listed, and whichever answers are lost, a copy that learned is the list.
     #[test]
     fn learn_any_changes(
--- a/lib/tests/test_work.rs
+++ b/lib/tests/test_work.rs
@@ -32,6 +32,16 @@
     expect_that!(total.rate, near(57.38, 0.01));
 }
 
+/// Instances that saw no prompt being read say nothing about the rate.
+#[gtest]
+fn sum_unseen_rate() {
+    let now = Instant::now();
+    let mut sum = WorkSum::default();
+    sum.set(now, &"a".into(), works(1_000.0, 40.0));
+    sum.set(now, &"b".into(), works(9_000.0, 0.0));
+    expect_that!(sum.sum(now)["llm"].rate, eq(40.0));
+}
+
 /// One instance that is wrong about the reading rate does not decide how many endpoints are ordered.
 #[gtest]
 fn sum_outlier_rate() {
