Tell all instances which engines are crowded, and a long list in parts

Change: polls carry the requests and unread tokens of each engine, summed on the way and bounded to the 128 busiest. They count beyond 500 ms of reading or three quarters of the places only.

An entry could not take a list of 3,000 endpoints within the 500 ms of a poll. Change: a message brings 256 changes at most, the rest follows with the next poll, and the held list stays until the new one is whole; the leader reads on a thread of its own; an entry waits for 3 s after its start before it reads itself.

Tests: choose_past_requests_of_others, sum_engines_bounded, learn_in_parts.

--- a/lib/src/cluster_control.rs
+++ b/lib/src/cluster_control.rs
@@ -31,7 +31,7 @@
 use crate::state::State;
 use crate::view::Version;
 use crate::view::View;
-use crate::work::Works;
+use crate::work::Told;
 
 /// Time by which the control thread answers before the caller gives up, so that a certain answer
 /// is not lost to a race of two timers.
@@ -121,8 +121,8 @@
     }
 
     /// Notes the work that the callers of this instance ask of services.
-    pub fn set_work(&self, works: Works) {
-        *self.shared.work.lock().expect("work lock poisoned") = works;
+    pub fn set_work(&self, told: Told) {
+        *self.shared.work.lock().expect("work lock poisoned") = told;
     }
 
     /// Returns the endpoint list that instances share.
@@ -141,7 +141,7 @@
     }
 
     /// Returns the work of all instances, as far as this one knows.
-    pub fn total_work(&self) -> Arc<Works> {
+    pub fn total_work(&self) -> Arc<Told> {
         self.shared
             .total
             .read()
--- a/lib/src/control_shared.rs
+++ b/lib/src/control_shared.rs
@@ -37,7 +37,7 @@
 use crate::usage::UsageCounter;
 use crate::view::Version;
 use crate::view::View;
-use crate::work::Works;
+use crate::work::Told;
 
 /// Requests of traffic threads that wait for the control thread; more are refused.
 pub const MAX_REQUESTS: usize = 4_096;
@@ -80,9 +80,9 @@
     /// State of the process for operators.
     pub status: Mutex<Status>,
     /// Work that the callers of this instance ask of services.
-    pub work: Mutex<Works>,
+    pub work: Mutex<Told>,
     /// Work that the callers of all instances ask of services, as far as this one knows.
-    pub total: ShardedLock<Arc<Works>>,
+    pub total: ShardedLock<Arc<Told>>,
     /// The endpoint list.
     pub list: SharedList,
     /// Prompt parts that this instance sent to engines, for the next poll.
@@ -128,8 +128,8 @@
     }
 
     /// Notes the work of all instances.
-    pub fn set_total(&self, works: Works) {
-        *self.total.write().expect("work lock poisoned") = Arc::new(works);
+    pub fn set_total(&self, told: Told) {
+        *self.total.write().expect("work lock poisoned") = Arc::new(told);
     }
 
     /// Hands a request to the control thread; returns whether it was accepted.
--- a/lib/src/discovery.rs
+++ b/lib/src/discovery.rs
@@ -41,16 +41,16 @@
 const MAX_RETRY: Duration = Duration::from_secs(5);
 
 /// Time after the start in which the shared list is expected: an election and one reading of the leader.
-const START_PATIENCE: Duration = Duration::from_secs(1);
+const START_PATIENCE: Duration = Duration::from_secs(3);
 
 /// Instances that are assumed until their number is known.
-const UNKNOWN_ENTRIES: f64 = 100.0;
+const UNKNOWN_ENTRIES: f64 = 300.0;
 
 /// Time in which each instance may read the pages of its part of the rate.
 const OWN_PERIOD: Duration = Duration::from_secs(10);
 
 /// Times that the leader asks for a page which the platform has no calls left for.
-const PAGE_TRIES: u32 = 20;
+const PAGE_TRIES: u32 = 100;
 
 /// Part of the platform's rate of calls that readings of the list may take.
 const RATE_SHARE: f64 = 0.6;
@@ -116,8 +116,8 @@
     /// Failed readings in a row.
     failures: u32,
     held: ListRevision,
-    /// When the shared list was missing first, and for how long that is borne.
-    missing: Option<(Instant, Duration)>,
+    /// When the shared list was missing first, and the part of the usual interval for which that is borne.
+    missing: Option<(Instant, f64)>,
     /// Whether any list is known.
     known: bool,
 }
@@ -141,14 +141,13 @@
     fn step(&mut self, config: &Config) -> Duration {
         let now = config.clock.now();
         let Some((read, revision, list)) = config.control.list().fresh(now) else {
-            let (since, wait) = *self.missing.get_or_insert_with(|| {
-                let spread = own_pause(config, 1).mul_f64(rand::rng().random_range(0.0..1.0));
-                let patience = match self.known {
-                    true => Duration::ZERO,
-                    false => START_PATIENCE,
-                };
-                (now, patience + spread)
-            });
+            let draw = rand::rng().random_range(0.0..1.0);
+            let (since, draw) = *self.missing.get_or_insert((now, draw));
+            let patience = match self.known {
+                true => Duration::ZERO,
+                false => START_PATIENCE,
+            };
+            let wait = patience + own_pause(config, 1).mul_f64(draw);
             if now.saturating_duration_since(since) < wait {
                 return SHARED_PERIOD;
             }
@@ -165,7 +164,7 @@
         let mut fleet = config.fleet.lock().expect("fleet lock poisoned");
         fleet.confirm(read);
         // Work fades although nobody asks.
-        config.control.set_work(fleet.works(now));
+        config.control.set_work(fleet.tell(now));
         SHARED_PERIOD
     }
 
@@ -212,7 +211,7 @@
 fn install(config: &Config, now: Instant, list: Vec<ListedEndpoint>) {
     let mut fleet = config.fleet.lock().expect("fleet lock poisoned");
     let changes = fleet.install(now, list);
-    config.control.set_work(fleet.works(now));
+    config.control.set_work(fleet.tell(now));
     drop(fleet);
     if !changes.is_empty() {
         config.changed.send_replace(());
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -4,6 +4,8 @@
 //!
 //! * A burst of long prompts: prompts that an engine has still to read delay everybody on it, so the
 //!   unread tokens sent there count as waiting time, and short requests pass to other engines.
+//! * Many instances, each of which sees few of the requests at an engine: what the others have there counts
+//!   like the own requests, so that no engine is crowded while others are free.
 //! * Sessions that share a prompt: an engine that read the shared part answers sooner, as long as
 //!   its queue is short; an unknown part is given a home by rendezvous hashing, on which all
 //!   instances agree without a message.
@@ -19,6 +21,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -37,9 +40,12 @@
 use crate::route_table::EngineKind;
 use crate::sighting::NOTABLE_TOKENS;
 use crate::sighting::Sighting;
+use crate::work::AtEngine;
+use crate::work::AtEngines;
 use crate::work::LONG_PROMPT;
 use crate::work::READ_RATE;
 use crate::work::Rate;
+use crate::work::Told;
 use crate::work::Work;
 use crate::work::Works;
 
@@ -198,6 +204,10 @@
     places: HashMap<Ticket, EndpointId>,
     /// Shared parts that were sent to engines which did not hold them.
     sightings: Vec<Sighting>,
+    /// What this instance told last, which is in the sum that it hears.
+    told: AtEngines,
+    /// The newest sum over all instances.
+    heard: Option<Arc<Told>>,
     next: u64,
 }
 
@@ -231,6 +241,8 @@
             turned: HashMap::new(),
             places: HashMap::new(),
             sightings: Vec::new(),
+            told: AtEngines::new(),
+            heard: None,
             next: 0,
         }
     }
@@ -458,6 +470,38 @@
         self.flows.iter().map(work).collect()
     }
 
+    /// Returns what to tell other instances about the own requests.
+    pub fn tell(&mut self, now: Instant) -> Told {
+        let busy = self.endpoints.values().filter(|e| !e.own.is_empty());
+        self.told = busy.map(|e| (e.hash, e.at_engine())).collect();
+        Told {
+            works: self.works(now),
+            engines: self.told.clone(),
+        }
+    }
+
+    /// Takes in what all instances told, this one included.
+    pub fn hear(&mut self, now: Instant, sum: &Arc<Told>) {
+        if self
+            .heard
+            .as_ref()
+            .is_some_and(|heard| Arc::ptr_eq(heard, sum))
+        {
+            return;
+        }
+        self.heard = Some(sum.clone());
+        for endpoint in self.endpoints.values_mut() {
+            let all = sum.engines.get(&endpoint.hash).copied();
+            let own = self.told.get(&endpoint.hash).copied();
+            let (all, own) = (all.unwrap_or_default(), own.unwrap_or_default());
+            let others = AtEngine {
+                calls: all.calls.saturating_sub(own.calls),
+                unread: all.unread.saturating_sub(own.unread),
+            };
+            endpoint.others = Some((others, now));
+        }
+    }
+
     /// Records a call that is about to be sent.
     pub fn start(&mut self, now: Instant, choice: &Choice, parts: &[PromptPart]) -> Ticket {
         self.next += 1;
--- a/lib/src/fleet_endpoint.rs
+++ b/lib/src/fleet_endpoint.rs
@@ -9,6 +9,7 @@
 use crate::fleet::Ticket;
 use crate::ids::ZoneId;
 use crate::prompt_cache::PromptCache;
+use crate::work::AtEngine;
 
 /// Delay in milliseconds that a full endpoint adds to a request; it grows with the square of the use,
 /// since an engine with many requests is mostly one that reads all the time.
@@ -67,6 +68,13 @@
 /// Longest pause that an endpoint is granted; a longer one would take it out of use by a slip.
 const MAX_PAUSE: Duration = Duration::from_secs(600);
 
+/// Reading time in milliseconds of other instances' prompts from which they count: less has been read since
+/// they told, half a second ago, and a reaction to it would only move the requests of all at once.
+const OTHERS_TIME: f64 = 500.0;
+
+/// Part of the places from which the requests of other instances count, for the same reason.
+const OTHERS_USE: f64 = 0.75;
+
 /// How a call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallEnd {
@@ -121,6 +129,8 @@
     pub own: Vec<OwnCall>,
     /// Stated load, when it arrived, and the own calls at that time.
     pub load: Option<(StatedLoad, Instant, usize)>,
+    /// Requests of other instances, and when they were told.
+    pub others: Option<(AtEngine, Instant)>,
     /// Weight of failures at the time of the newest one.
     pub failures: f64,
     pub failed: Instant,
@@ -142,6 +152,7 @@
             listed,
             own: Vec::new(),
             load: None,
+            others: None,
             failures: 0.0,
             failed: now,
             closed: Vec::new(),
@@ -188,6 +199,22 @@
         waiting.map(|call| u64::from(call.unread)).sum()
     }
 
+    /// Returns the own requests as other instances are told.
+    pub(crate) fn at_engine(&self) -> AtEngine {
+        AtEngine {
+            calls: u32::try_from(self.own.len()).unwrap_or(u32::MAX),
+            unread: u32::try_from(self.unread()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Returns the requests of other instances, unless it was told too long ago.
+    fn others(&self, now: Instant) -> AtEngine {
+        let known = self
+            .others
+            .filter(|(_, at)| now.saturating_duration_since(*at) < STALE);
+        known.map_or_else(AtEngine::default, |(others, _)| others)
+    }
+
     fn recent_failures(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.failed).as_secs_f64();
         self.failures * 0.5_f64.powf(age / FAILURE_FADES.as_secs_f64())
@@ -245,6 +272,11 @@
             _ => (own, 0.0),
         };
         let slots = f64::from(self.listed.slots.max(1));
+        let all = own + f64::from(self.others(now).calls);
+        let running = match all > slots * OTHERS_USE {
+            true => running.max(all),
+            false => running,
+        };
         (running.min(slots), waiting + (running - slots).max(0.0))
     }
 
@@ -252,9 +284,12 @@
     pub(crate) fn delay(&self, now: Instant, unread: u32, rate: f64, zone: &ZoneId) -> f64 {
         let (running, waiting) = self.busy(now);
         let tokens = self.unread() as f64 + f64::from(unread);
+        let others = f64::from(self.others(now).unread) / rate;
         let use_share = running / f64::from(self.listed.slots.max(1));
-        let mut delay =
-            tokens / rate + FULL_DELAY * use_share * use_share + WAITING_DELAY * waiting;
+        let mut delay = tokens / rate
+            + (others - OTHERS_TIME).max(0.0)
+            + FULL_DELAY * use_share * use_share
+            + WAITING_DELAY * waiting;
         if self.listed.zone != *zone {
             delay += ZONE_DELAY;
         }
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -277,10 +277,12 @@
     fn choose(&self) -> Result<(Choice, Ticket), NoChoice> {
         let now = self.now();
         let control = &self.forwarder.settings.control;
-        let total = control.total_work().get(&self.service).copied();
+        let told = control.total_work();
+        let total = told.works.get(&self.service).copied();
         let heard = control.heard();
         let mut fleet = self.forwarder.fleet();
         fleet.learn(&heard);
+        fleet.hear(now, &told);
         let mut want = Want {
             service: &self.service,
             prompt: self.ask.prompt,
@@ -307,13 +309,13 @@
             Err(NoChoice::Late { .. }) => fleet.turned_away(now, &self.service, self.rank),
             Err(NoChoice::Full) => {
                 fleet.missed(now, &want);
-                control.set_work(fleet.works(now));
+                control.set_work(fleet.tell(now));
             }
             _ => {}
         }
         let choice = choice?;
         let ticket = fleet.start(now, &choice, &self.ask.parts);
-        control.set_work(fleet.works(now));
+        control.set_work(fleet.tell(now));
         control.tell(fleet.take_sightings());
         Ok((choice, ticket))
     }
--- a/lib/src/peer_message.rs
+++ b/lib/src/peer_message.rs
@@ -25,7 +25,7 @@
 use crate::shared_list::ListRevision;
 use crate::sighting::Sighting;
 use crate::view::Version;
-use crate::work::Works;
+use crate::work::Told;
 
 /// A poll with everything that travels with it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -43,7 +43,7 @@
     /// Demand for quota.
     pub demand: Vec<DemandRow>,
     /// Work that the callers of this instance, and of those which it answers, ask of services.
-    pub work: Works,
+    pub work: Told,
     /// Prompt parts that this instance sent to engines.
     pub sightings: Vec<Sighting>,
     /// State of its copy of the endpoint list.
@@ -89,7 +89,7 @@
     /// The leader, which commands go to.
     pub leader: Option<Whereabouts>,
     /// Work that the callers of all instances ask of services.
-    pub work: Works,
+    pub work: Told,
     /// Prompt parts that other instances sent to engines.
     pub sightings: Vec<Sighting>,
     /// Changes of the endpoint list, unless the answering instance knows none.
--- a/lib/src/shared_list.rs
+++ b/lib/src/shared_list.rs
@@ -27,6 +27,13 @@
 /// length of the list they get the whole list.
 const MAX_GONE: usize = 256;
 
+/// Changes in a message, beyond which the rest follows with the next poll: about 20 KB, which the link of a
+/// small instance carries in a fraction of a poll's time.
+const MAX_CHANGES: usize = 256;
+
+/// Changed endpoints that share a number, so that a long list can be told in parts.
+const NUMBERED: usize = 64;
+
 /// Returns the age from which a list of this length is not used.
 fn fresh_time(length: usize) -> Duration {
     FRESH + FRESH_EACH * u32::try_from(length).unwrap_or(u32::MAX)
@@ -52,6 +59,8 @@
     pub age: Duration,
     /// Whether it is the whole list.
     pub whole: bool,
+    /// Whether more changes follow with the next poll.
+    pub more: bool,
     /// Endpoints that are new or changed.
     pub changed: Vec<ListedEndpoint>,
     /// Endpoints that are not on the list any more.
@@ -108,13 +117,16 @@
             };
             self.turns += 1;
         }
-        let number = self.revision.number + 1;
-        for listed in page {
-            if self.entries.get(&listed.id).map(|(_, held)| held) != Some(listed) {
-                self.entries
-                    .insert(listed.id.clone(), (number, listed.clone()));
+        let held = |listed: &&ListedEndpoint| {
+            self.entries.get(&listed.id).map(|(_, held)| held) == Some(*listed)
+        };
+        let changed: Vec<_> = page.iter().filter(|listed| !held(listed)).collect();
+        for part in changed.chunks(NUMBERED) {
+            self.revision.number += 1;
+            for listed in part {
+                let entry = (self.revision.number, (*listed).clone());
+                self.entries.insert(listed.id.clone(), entry);
                 self.gone.remove(&listed.id);
-                self.revision.number = number;
             }
         }
     }
@@ -142,7 +154,11 @@
         }
         self.revision = news.revision;
         self.bound_gone();
-        self.read = read;
+        self.read = match news.more {
+            // A part is not told on, and does not make the rest newer.
+            true => self.read.filter(|_| !news.whole),
+            false => read,
+        };
     }
 
     fn bound_gone(&mut self) {
@@ -175,13 +191,28 @@
         }
         let whole = !self.follows(held);
         let since = if whole { 0 } else { held.number };
-        let changed = self.entries.values().filter(|(at, _)| *at > since);
-        let gone = self.gone.iter().filter(|(_, at)| !whole && **at > since);
+        let mut numbers: Vec<_> = self.entries.values().map(|(at, _)| *at).collect();
+        numbers.retain(|at| *at > since);
+        let mut end = self.revision.number;
+        if numbers.len() > MAX_CHANGES {
+            let (_, last, _) = numbers.select_nth_unstable(MAX_CHANGES - 1);
+            end = *last;
+        }
+        let told = since + 1..=end;
+        let changed = self.entries.values().filter(|(at, _)| told.contains(at));
+        let gone = self
+            .gone
+            .iter()
+            .filter(|(_, at)| !whole && told.contains(at));
         Some(ListNews {
             since: held,
-            revision: self.revision,
+            revision: ListRevision {
+                epoch: self.revision.epoch,
+                number: end,
+            },
             age,
             whole,
+            more: end < self.revision.number,
             changed: changed.map(|(_, listed)| listed.clone()).collect(),
             gone: gone.map(|(id, _)| id.clone()).collect(),
         })
@@ -195,6 +226,8 @@
     /// When the list was read.
     read: Option<Instant>,
     entries: BTreeMap<EndpointId, ListedEndpoint>,
+    /// A new list of which parts are still missing.
+    next: Option<BTreeMap<EndpointId, ListedEndpoint>>,
 }
 
 /// The list between the threads of an instance: what it read itself and what it was told.
@@ -253,19 +286,26 @@
     pub fn learn(&self, asked: Instant, news: ListNews) {
         let mut copy = self.copy.lock().expect("list lock poisoned");
         if news.whole {
-            copy.entries.clear();
+            copy.next = Some(BTreeMap::new());
         } else if copy.revision != news.since {
             tracing::debug!("changes of another list than the held one");
             return;
         }
+        let copy = &mut *copy;
+        copy.revision = news.revision;
+        let list = copy.next.as_mut().unwrap_or(&mut copy.entries);
         for listed in news.changed {
-            copy.entries.insert(listed.id.clone(), listed);
+            list.insert(listed.id.clone(), listed);
         }
         for id in news.gone {
-            copy.entries.remove(&id);
+            list.remove(&id);
+        }
+        if !news.more {
+            if let Some(next) = copy.next.take() {
+                copy.entries = next;
+            }
+            copy.read = asked.checked_sub(news.age).or(Some(asked));
         }
-        copy.revision = news.revision;
-        copy.read = asked.checked_sub(news.age).or(Some(asked));
     }
 
     /// Returns the own copy and when it was read, unless it is too old.
--- a/lib/src/site_duties.rs
+++ b/lib/src/site_duties.rs
@@ -92,6 +92,7 @@
             };
             CallThread::start(name, move |call| caller.send(call))
         };
+        let epoch = rand::rng().random_range(1..u64::MAX);
         let runner = Runner {
             reporter: Arc::new(Mutex::new(Reporter::new(me.clone()))),
             reports: caller("usage-reports")?,
@@ -101,13 +102,13 @@
                 fence: 0,
                 pending: 0,
                 listed: None,
-                platform: Platform::new(config.platform, config.clock.clone()),
+                reader: list_reader(&config, epoch)?,
+                reading: None,
                 table: None,
             },
             orders: caller("orders")?,
             leases: Vec::new(),
             releases: Vec::new(),
-            epoch: rand::rng().random_range(1..u64::MAX),
             config,
         };
         let thread = thread::Builder::new()
@@ -179,7 +180,10 @@
     /// Orders without a result.
     pending: usize,
     listed: Option<(Instant, Vec<ListedEndpoint>)>,
-    platform: Platform,
+    /// Reads the list, which takes seconds where it is long.
+    reader: CallThread<Instant, Result<Vec<ListedEndpoint>, String>>,
+    /// When the last reading began, and whether it has ended.
+    reading: Option<(Instant, bool)>,
     table: Option<(u64, Arc<RouteTable>)>,
 }
 
@@ -195,8 +199,23 @@
     orders: ExclusiveCalls,
     leases: Vec<(LeaseKind, Instant, Answer)>,
     releases: Vec<Answer>,
-    /// Names this process among those that number changes of the endpoint list.
+}
+
+/// Starts the thread that reads the endpoint list and tells other instances; `epoch` names this process
+/// among those that number changes of the list.
+fn list_reader(
+    config: &Config,
     epoch: u64,
+) -> std::io::Result<CallThread<Instant, Result<Vec<ListedEndpoint>, String>>> {
+    let platform = Platform::new(config.platform, config.clock.clone());
+    let (dialect, control) = (config.dialect.clone(), config.control.clone());
+    CallThread::start("endpoint-list", move |began: &Instant| {
+        let publish = |page: &[ListedEndpoint]| control.list().publish_page(epoch, page);
+        let reading = discovery::read_list(dialect.as_ref(), &platform, publish);
+        let reading = reading.map_err(|error| error.to_string())?;
+        control.list().publish(*began, epoch, &reading.list);
+        Ok(reading.list)
+    })
 }
 
 impl Runner {
@@ -228,7 +247,7 @@
         }
         self.read_table();
         let total = self.config.control.total_work();
-        let work = |service: &Service| total.get(&service.id).copied().unwrap_or_default();
+        let work = |service: &Service| total.works.get(&service.id).copied().unwrap_or_default();
         let guard = self.buyer.holder.guard(now, wall);
         let Some(guard) = guard else {
             if let Some((_, table)) = &self.buyer.table {
@@ -274,27 +293,24 @@
     }
 
     fn read_list(&mut self, now: Instant) {
-        let age = |(at, _): &(Instant, _)| now.saturating_duration_since(*at);
-        if self
-            .buyer
-            .listed
-            .as_ref()
-            .is_some_and(|l| age(l) < LIST_PERIOD)
-        {
-            return;
+        let buyer = &mut self.buyer;
+        for (began, result) in buyer.reader.results() {
+            buyer.reading = Some((began, true));
+            buyer.listed = match result {
+                Ok(list) => Some((began, list)),
+                Err(error) => {
+                    // An old list would lead to orders for a stock that is not there.
+                    tracing::warn!(%error, "orders nothing without the endpoint list");
+                    None
+                }
+            };
         }
-        let (dialect, list) = (self.config.dialect.as_ref(), self.config.control.list());
-        let publish = |page: &[ListedEndpoint]| list.publish_page(self.epoch, page);
-        match discovery::read_list(dialect, &self.buyer.platform, publish) {
-            Ok(reading) => {
-                list.publish(now, self.epoch, &reading.list);
-                self.buyer.listed = Some((now, reading.list));
-            }
-            Err(error) => {
-                // An old list would lead to orders for a stock that is not there.
-                tracing::warn!(%error, "orders nothing without the endpoint list");
-                self.buyer.listed = None;
-            }
+        let is_due = |(began, ended): (Instant, bool)| {
+            ended && now.saturating_duration_since(began) >= LIST_PERIOD
+        };
+        if buyer.reading.is_none_or(is_due) {
+            buyer.reading = Some((now, false));
+            buyer.reader.send(now);
         }
     }
 
--- a/lib/src/work.rs
+++ b/lib/src/work.rs
@@ -1,7 +1,8 @@
-//! How much work callers ask of each service, added up over all instances.
+//! How much work callers ask of each service, and what waits at each engine, added up over all instances.
 //!
 //! An instance sees its own requests only. Each tells the leader its part with its polls and gets
-//! the sum back, so that all agree on how endpoints are divided and how many are needed.
+//! the sum back, so that all agree on how endpoints are divided and how many are needed, and none sends
+//! more to an engine that is busy with the requests of others. The sum is half a second old.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -62,6 +63,52 @@
 /// Work by service.
 pub type Works = BTreeMap<ServiceId, Work>;
 
+/// Engines in a message at most, those with the most requests; each takes about 14 bytes.
+const MAX_ENGINES: usize = 128;
+
+/// Requests that are at an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AtEngine {
+    /// Requests.
+    pub calls: u32,
+    /// Prompt tokens that it has still to read for them.
+    pub unread: u32,
+}
+
+/// Requests at engines, by the hash of an engine's name.
+pub type AtEngines = BTreeMap<u64, AtEngine>;
+
+/// What one instance tells about its callers' requests, or the sum over all.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Told {
+    /// Work by service.
+    pub works: Works,
+    /// Requests at engines, the busiest ones if there are too many.
+    pub engines: AtEngines,
+}
+
+impl Told {
+    fn add(&mut self, other: &Self) {
+        for (service, work) in &other.works {
+            self.works.entry(service.clone()).or_default().add(work);
+        }
+        for (engine, more) in &other.engines {
+            let sum = self.engines.entry(*engine).or_default();
+            sum.calls = sum.calls.saturating_add(more.calls);
+            sum.unread = sum.unread.saturating_add(more.unread);
+        }
+    }
+
+    fn bound(&mut self) {
+        if self.engines.len() > MAX_ENGINES {
+            let mut busy: Vec<_> = std::mem::take(&mut self.engines).into_iter().collect();
+            busy.sort_unstable_by_key(|(_, at)| std::cmp::Reverse((at.calls, at.unread)));
+            busy.truncate(MAX_ENGINES);
+            self.engines = busy.into_iter().collect();
+        }
+    }
+}
+
 /// Tokens a second, from single requests.
 #[derive(Clone, Copy, Debug)]
 pub struct Rate {
@@ -94,23 +141,24 @@
 /// The parts of all instances, at the leader.
 #[derive(Debug, Default)]
 pub struct WorkSum {
-    parts: BTreeMap<InstanceId, (Instant, Works)>,
+    parts: BTreeMap<InstanceId, (Instant, Told)>,
 }
 
 impl WorkSum {
     /// Takes over the part of an instance.
-    pub fn set(&mut self, now: Instant, instance: &InstanceId, works: Works) {
-        self.parts.insert(instance.clone(), (now, works));
+    pub fn set(&mut self, now: Instant, instance: &InstanceId, told: Told) {
+        self.parts.insert(instance.clone(), (now, told));
     }
 
     /// Returns the sum of the parts that are not stale, which are forgotten.
-    pub fn sum(&mut self, now: Instant) -> Works {
+    pub fn sum(&mut self, now: Instant) -> Told {
         self.parts
             .retain(|_, (at, _)| now.saturating_duration_since(*at) < STALE);
-        let mut sum = Works::new();
-        for (service, work) in self.parts.values().flat_map(|(_, works)| works) {
-            sum.entry(service.clone()).or_default().add(work);
+        let mut sum = Told::default();
+        for (_, told) in self.parts.values() {
+            sum.add(told);
         }
+        sum.bound();
         sum
     }
 }
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -1,9 +1,11 @@
 //! Tests of the choice of endpoints, each replaying the load pattern that a rule answers.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use fulmarford_lib::affinity;
 use fulmarford_lib::dialect::AnswerFacts;
 use fulmarford_lib::dialect::ListedEndpoint;
 use fulmarford_lib::dialect::PromptPart;
@@ -16,6 +18,8 @@
 use fulmarford_lib::ids::EndpointId;
 use fulmarford_lib::ids::ServiceId;
 use fulmarford_lib::route_table::EngineKind;
+use fulmarford_lib::work::AtEngine;
+use fulmarford_lib::work::Told;
 use fulmarford_lib::work::Work;
 use googletest::prelude::*;
 
@@ -135,6 +139,36 @@
     expect_that!(f.ask(1, &[], &excluded), err(eq(&NoChoice::Nowhere)));
 }
 
+/// A wide fleet: an engine is busy with the requests of other instances, which this one does not see but is
+/// told, and so is not chosen; what was told long ago does not count.
+#[gtest]
+fn choose_past_requests_of_others() {
+    let mut f = Fixture::new(&["a", "b"]);
+    let first = f.place(500);
+    let busy = AtEngine {
+        calls: 20,
+        unread: 40_000,
+    };
+    let hash = affinity::hash_name(name(&first));
+    let sum = Told {
+        engines: [(hash, busy)].into(),
+        ..Told::default()
+    };
+    f.fleet.hear(f.now, &Arc::new(sum));
+    expect_that!(name(&f.place(500)), not(eq(name(&first))));
+    f.pass(Duration::from_secs(3));
+    expect_that!(name(&f.place(500)), eq(name(&first)));
+    // The own requests, which the sum holds as well, count once.
+    let ticket = f.fleet.start(f.now, &first, &[]);
+    let own = f.fleet.tell(f.now);
+    expect_that!(own.engines[&hash].unread, eq(500));
+    let before = f.ask(500, &[], &["b".into()]).map(|c| c.expected);
+    f.fleet.hear(f.now, &Arc::new(own));
+    let after = f.ask(500, &[], &["b".into()]).map(|c| c.expected);
+    expect_that!(before, eq(after));
+    f.fleet.end(f.now, ticket, CallEnd::Served);
+}
+
 /// An engine says that it leaves while the list still calls it ready: nothing more goes there, also when
 /// the list is read again, until the list shows that it came back under its name.
 #[gtest]
--- a/lib/tests/test_shared_list.rs
+++ b/lib/tests/test_shared_list.rs
@@ -88,10 +88,30 @@
     );
 }
 
+/// Passes on what a voter lacks, in as many messages as it takes.
 fn relayed(from: &SharedList, to: &SharedList, now: Instant) {
-    if let Some(news) = from.news(now, to.revision()) {
+    while let Some(news) = from.news(now, to.revision()) {
         to.relay(now, &news);
+        if !news.more {
+            return;
+        }
+    }
+}
+
+/// Passes on what a copy lacks, in as many messages as it takes; returns whether there were news.
+fn catch_up(from: &SharedList, to: &SharedList, now: Instant) -> bool {
+    let mut count = 0;
+    while let Some(news) = from.news(now, to.held()) {
+        assert!(news.changed.len() <= 320, "{}", news.changed.len());
+        assert!(count < 40, "no end of news");
+        let more = news.more;
+        to.learn(now, news);
+        count += 1;
+        if !more {
+            return true;
+        }
     }
+    false
 }
 
 /// A list of 3,000 endpoints: an instance whose relay is lost gets changes from another one, not the whole
@@ -112,7 +132,8 @@
     leader.publish(now, 1, &list);
     relayed(leader, first, now);
     relayed(leader, second, now);
-    entry.learn(now, first.news(now, entry.held()).expect("news"));
+    catch_up(first, entry, now);
+    expect_that!(names(entry, now).map(|names| names.len()), some(eq(3_000)));
     list[7].leaving = true;
     leader.publish(now, 1, &list);
     relayed(leader, second, now);
@@ -141,6 +162,41 @@
     );
 }
 
+/// A long list in parts: the held one stays whole until the new one is, although an answer is lost, and a
+/// voter tells nothing of a list that it holds in part.
+#[gtest]
+fn learn_in_parts() {
+    let now = Instant::now();
+    let (leader, relay, entry) = (
+        SharedList::default(),
+        SharedList::default(),
+        SharedList::default(),
+    );
+    let many = |from: u16, count: u16| -> Vec<_> {
+        let name = |n: u16| ListedEndpoint {
+            id: format!("i-{n}").into(),
+            ..listed(1, false)
+        };
+        (from..from + count).map(name).collect()
+    };
+    leader.publish(now, 1, &many(0, 700));
+    catch_up(&leader, &entry, now);
+    let other = SharedList::default();
+    other.publish(now, 2, &many(100, 900));
+    let news = other.news(now, entry.held()).expect("news");
+    expect_that!((news.whole, news.more), eq((true, true)));
+    entry.learn(now, news);
+    expect_that!(names(&entry, now).map(|names| names.len()), some(eq(700)));
+    // The answer to the next poll is lost.
+    drop(other.news(now, entry.held()));
+    catch_up(&other, &entry, now);
+    expect_that!(names(&entry, now).map(|names| names.len()), some(eq(900)));
+    relay.relay(now, &other.news(now, relay.revision()).expect("news"));
+    expect_that!(relay.news(now, ListRevision::default()), none());
+    relayed(&other, &relay, now);
+    expect_that!(relay.news(now, ListRevision::default()), some(anything()));
+}
+
 /// The leader reads a long list page by page: what a page changes is told before the last one came.
 #[gtest]
 fn news_of_page() {
@@ -174,10 +230,11 @@
                 voters[from].publish(now, from as u64 + 1, &list);
             }
             if from == to {
-                let Some(news) = voters[from].news(now, entry.held()) else { continue };
-                entry.learn(now, news);
+                if !catch_up(&voters[from], &entry, now) {
+                    continue;
+                }
                 let probe = SharedList::default();
-                probe.learn(now, voters[from].news(now, probe.held()).expect("news"));
+                catch_up(&voters[from], &probe, now);
                 prop_assert_eq!(names(&entry, now), names(&probe, now));
             } else {
                 relayed(&voters[from], &voters[to], now);
--- a/lib/tests/test_work.rs
+++ b/lib/tests/test_work.rs
@@ -3,30 +3,35 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use fulmarford_lib::work::AtEngine;
+use fulmarford_lib::work::AtEngines;
 use fulmarford_lib::work::Rate;
+use fulmarford_lib::work::Told;
 use fulmarford_lib::work::Work;
 use fulmarford_lib::work::WorkSum;
-use fulmarford_lib::work::Works;
 use googletest::prelude::*;
 
-fn works(long: f64, rate: f64) -> Works {
+fn told(long: f64, rate: f64) -> Told {
     let work = Work {
         long,
         short: 1.0,
         calls: 2.0,
         rate,
     };
-    [("llm".into(), work)].into()
+    Told {
+        works: [("llm".into(), work)].into(),
+        engines: AtEngines::new(),
+    }
 }
 
 #[gtest]
 fn sum_adds_instances() {
     let now = Instant::now();
     let mut sum = WorkSum::default();
-    sum.set(now, &"a".into(), works(10.0, 50.0));
-    sum.set(now, &"b".into(), works(20.0, 60.0));
-    sum.set(now, &"b".into(), works(30.0, 60.0));
-    let total = sum.sum(now)["llm"];
+    sum.set(now, &"a".into(), told(10.0, 50.0));
+    sum.set(now, &"b".into(), told(20.0, 60.0));
+    sum.set(now, &"b".into(), told(30.0, 60.0));
+    let total = sum.sum(now).works["llm"];
     expect_that!((total.long, total.short, total.calls), eq((40.0, 2.0, 4.0)));
     // 11 tokens/s at 50 and 31 tokens/s at 60.
     expect_that!(total.rate, near(57.38, 0.01));
@@ -37,9 +42,9 @@
 fn sum_unseen_rate() {
     let now = Instant::now();
     let mut sum = WorkSum::default();
-    sum.set(now, &"a".into(), works(1_000.0, 40.0));
-    sum.set(now, &"b".into(), works(9_000.0, 0.0));
-    expect_that!(sum.sum(now)["llm"].rate, eq(40.0));
+    sum.set(now, &"a".into(), told(1_000.0, 40.0));
+    sum.set(now, &"b".into(), told(9_000.0, 0.0));
+    expect_that!(sum.sum(now).works["llm"].rate, eq(40.0));
 }
 
 /// One instance that is wrong about the reading rate does not decide how many endpoints are ordered.
@@ -47,30 +52,27 @@
 fn sum_outlier_rate() {
     let now = Instant::now();
     let mut sum = WorkSum::default();
-    sum.set(
-        now,
-        &"idle".into(),
-        [(
-            "llm".into(),
-            Work {
-                rate: 900.0,
-                ..Work::default()
-            },
-        )]
-        .into(),
-    );
+    let idle = Work {
+        rate: 900.0,
+        ..Work::default()
+    };
+    let idle = Told {
+        works: [("llm".into(), idle)].into(),
+        ..Told::default()
+    };
+    sum.set(now, &"idle".into(), idle);
     for name in ["a", "b", "c"] {
-        sum.set(now, &name.into(), works(100.0, 60.0));
+        sum.set(now, &name.into(), told(100.0, 60.0));
     }
-    expect_that!(sum.sum(now)["llm"].rate, eq(60.0));
+    expect_that!(sum.sum(now).works["llm"].rate, eq(60.0));
 }
 
 #[gtest]
 fn sum_forgets_silent_instances() {
     let now = Instant::now();
     let mut sum = WorkSum::default();
-    sum.set(now, &"a".into(), works(10.0, 50.0));
-    expect_that!(sum.sum(now + Duration::from_secs(10)), is_empty());
+    sum.set(now, &"a".into(), told(10.0, 50.0));
+    expect_that!(sum.sum(now + Duration::from_secs(10)), eq(&Told::default()));
 }
 
 #[gtest]
@@ -84,3 +86,29 @@
     expect_that!(rate.get(now), all![ge(900.0), le(1_100.0)]);
     expect_that!(rate.get(now + Duration::from_secs(20)), lt(1.0));
 }
+
+/// Many engines: a message names the busiest ones only.
+#[gtest]
+fn sum_engines_bounded() {
+    let now = Instant::now();
+    let mut sum = WorkSum::default();
+    for (instance, calls) in [("a", 1), ("b", 2)] {
+        let at = |n: u64| AtEngine {
+            calls: calls * n as u32,
+            unread: 7,
+        };
+        let told = Told {
+            engines: (1..=1_000).map(|n| (n, at(n))).collect(),
+            ..Told::default()
+        };
+        sum.set(now, &instance.into(), told);
+    }
+    let engines = sum.sum(now).engines;
+    expect_that!(engines.len(), eq(128));
+    let busiest = AtEngine {
+        calls: 3_000,
+        unread: 14,
+    };
+    expect_that!(engines.get(&1_000), some(eq(&busiest)));
+    expect_that!(engines.keys().min(), some(eq(&873)));
+}
