Relay polls in large fleets only

Cause: in a group of up to 32 instances a voter that follows answered an instance that asked it first, before the instance knew the leader. What was granted there delays a change by up to 2.1 s, until it ends. Change: outside platforms that find the group through seeds, followers send instances of a small fleet to the leader, as before.

Test: poll_leader_only.

--- a/lib/src/control_relay.rs
+++ b/lib/src/control_relay.rs
@@ -148,6 +148,11 @@
         if request.below.is_some() || !self.can_relay() {
             return Err(NotLeading);
         }
+        // In a small fleet an instance asks a relay once at most, and what it was granted here would delay
+        // a change until it ends. Where the group is found through seeds, a whole fleet may start at once.
+        if !self.discovers() && self.shared.entries() <= self.direct {
+            return Err(NotLeading);
+        }
         let now = self.clock.now();
         let age = self.subscriber.borrow().lease().age(now);
         let age = age.filter(|age| *age < RELAY_AGE).ok_or(NotLeading)?;
--- a/lib/tests/test_control_thread.rs
+++ b/lib/tests/test_control_thread.rs
@@ -623,6 +623,25 @@
     }
 }
 
+/// A small fleet: an instance that asks a voter which follows is sent to the leader and holds nothing that
+/// delays a change, also when the change comes right after the start.
+#[gtest]
+fn poll_leader_only() {
+    let cluster = Cluster::start(3, 5);
+    cluster.await_views();
+    let leader = cluster.leader();
+    for version in 1..=5 {
+        let line = "workspace w # t";
+        let change = change(&format!("c{version}"), version - 1, line);
+        expect_that!(
+            cluster.control(7).submit(change, LIMIT),
+            eq(&applied(version))
+        );
+        expect_true!(cluster.control(7).await_version(Version(version), LIMIT));
+        expect_that!(cluster.control(leader).status(LIMIT).relayed, eq(0));
+    }
+}
+
 /// A larger fleet: the leader answers voters only, and an instance whose voter is lost polls another one
 /// before its view expires.
 #[gtest]
