--- a/lib/src/control_thread.rs
+++ b/lib/src/control_thread.rs
@@ -30,11 +30,11 @@
 use crate::command::Reply;
 use crate::command::UsageTerms;
 use crate::control_core::Core;
-use crate::control_core::POLL_HOLD;
-use crate::control_core::POLL_TIMEOUT;
 use crate::control_core::PeerAddress;
 use crate::control_core::Peers;
-use crate::control_core::pause_before_retry;
+use crate::control_poll::keep_polling;
+use crate::control_poll::poll_once;
+use crate::control_poll::report_own_usage;
 use crate::control_shared::LeaseStatus;
 use crate::control_shared::MemberStatus;
 use crate::control_shared::Request;
@@ -47,32 +47,22 @@
 use crate::peer::Secrets;
 use crate::peer_message::JoinRequest;
 use crate::peer_message::JoinResponse;
-use crate::peer_message::News;
-use crate::peer_message::PollRequest;
-use crate::peer_message::PollResponse;
 use crate::peer_message::decode;
 use crate::peer_message::encode;
 use crate::raft::Config as RaftConfig;
 use crate::raft_member::Membership;
 use crate::raft_message::MemberId;
 use crate::storage::LogStore;
-use crate::usage;
 use crate::view::Edit;
 use crate::view::Version;
 use crate::voter::Opened;
 
-/// Time for which a report of the leader's own usage waits for its commit.
-const USAGE_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Interval at which a secret file is read again.
 pub const SECRET_PERIOD: Duration = Duration::from_secs(2);
 
 const DRIVE_MIN: Duration = Duration::from_millis(1);
 const DRIVE_MAX: Duration = Duration::from_millis(50);
 const MEMBER_PERIOD: Duration = Duration::from_millis(250);
-const EXPIRED_PAUSE: Duration = Duration::from_millis(125);
-/// Times that pause at most, after that many polls in a row without an answer.
-const EXPIRED_PAUSES: u32 = 3;
 const JOIN_TIMEOUT: Duration = Duration::from_secs(1);
 const INITIAL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -297,185 +287,6 @@
     }
 }
 
-/// Keeps the view fresh by polling the leader.
-async fn keep_polling(core: Rc<Core>) {
-    let mut failed = None;
-    let mut misses = 0;
-    let mut reported: Option<Instant> = None;
-    let mut granted: Option<Instant> = None;
-    loop {
-        if core.is_leader() {
-            let now = core.clock.now();
-            if granted.is_none_or(|at| now >= at + POLL_HOLD) {
-                granted = Some(now);
-                core.grant_own();
-            }
-            report_own_usage(&core, &mut reported).await;
-            sleep(POLL_HOLD / 5).await;
-            continue;
-        }
-        let Some(address) = core.poll_upstream(failed) else {
-            sleep(POLL_HOLD).await;
-            continue;
-        };
-        if poll_once(&core, address, &mut reported).await {
-            (failed, misses) = (None, 0);
-            continue;
-        }
-        (failed, misses) = (Some(address), misses + 1);
-        let valid = core.subscriber.borrow().lease().is_valid(core.clock.now());
-        if valid {
-            pause_before_retry().await;
-        } else {
-            // Nothing is served any more, so the voters are spared a storm of polls.
-            let pause = EXPIRED_PAUSE * misses.min(EXPIRED_PAUSES);
-            sleep(pause.mul_f64(rand::rng().random_range(0.5..1.0))).await;
-        }
-    }
-}
-
-/// Polls once; returns whether it was of use.
-async fn poll_once(core: &Rc<Core>, address: SocketAddr, reported: &mut Option<Instant>) -> bool {
-    let link = core.link(address);
-    if !link.connected(POLL_HOLD).await {
-        core.avoid(address);
-        return false;
-    }
-    let sent = core.clock.now();
-    let mut usage = Vec::from_iter(due_usage(core, sent, reported));
-    let below = core.below(sent);
-    let count = below.as_ref().map(|below| below.count);
-    usage.extend(below.into_iter().flat_map(|below| below.reports));
-    let work = {
-        let own = core.shared.work.lock().expect("work lock poisoned").clone();
-        let mut works = core.works.borrow_mut();
-        works.set(sent, &core.me.instance, own);
-        works.sum(sent)
-    };
-    let settled = core.subscriber.borrow().settled();
-    let watch = core.watch.get().filter(|version| settled < *version);
-    core.watch.set(watch);
-    let request = encode(&PollRequest {
-        poll: {
-            let settled = core.settled_below(sent);
-            core.subscriber.borrow().poll(&core.me, settled)
-        },
-        watch,
-        suspects: core.revision.get(),
-        usage,
-        below: count,
-        demand: core.shared.shares.demand(sent),
-        work,
-        sightings: core.shared.told.take(),
-        list: match count {
-            // A voter keeps the list for others only.
-            Some(_) => core.shared.list.revision(),
-            None => core.shared.list.held(),
-        },
-    });
-    let answer = tokio::select! {
-        answer = link.poll(&request, POLL_TIMEOUT) => answer,
-        // Somebody began to wait for a version, which this poll does not mention.
-        () = core.repoll.notified(), if watch.is_none() => return true,
-        () = core.advanced.notified() => return true,
-    };
-    match answer.ok().as_deref().and_then(decode) {
-        Some(PollResponse::News(news)) => {
-            core.set_hint(news.leader.clone());
-            let from = link.peer().unwrap_or_else(|| core.me.instance.clone());
-            install(core, from, sent, *news);
-            true
-        }
-        Some(PollResponse::Elsewhere { leader }) => {
-            core.set_hint(leader);
-            core.note_refused(address);
-            false
-        }
-        None => {
-            core.avoid(address);
-            false
-        }
-    }
-}
-
-fn install(core: &Rc<Core>, from: InstanceId, sent: Instant, news: News) {
-    let settled = core.subscriber.borrow().settled();
-    let installed = core.subscriber.borrow_mut().install(sent, news.update);
-    let delta = match installed {
-        Ok(delta) => delta,
-        Err(error) => {
-            tracing::warn!(%error, "did not take in an update");
-            return;
-        }
-    };
-    core.publish();
-    core.shared.shares.receive(sent, &news.chunks);
-    core.shared.set_entries(news.entries);
-    core.learn_members(&news.members);
-    core.shared.set_total(news.work);
-    let list = core.shared.list.revision();
-    if core.can_relay() {
-        core.sightings
-            .borrow_mut()
-            .add(&from, news.sightings.clone());
-    }
-    core.shared.heard.append(news.sightings);
-    if let Some(list) = news.list {
-        if core.can_relay() {
-            core.shared.list.relay(sent, &list);
-        } else {
-            core.shared.list.learn(sent, list);
-        }
-    }
-    if let Some(suspects) = &news.suspects {
-        core.install_suspects(suspects);
-    }
-    let is_new = core.relay_news(delta.as_ref(), &news.usage);
-    let has_advanced = core.subscriber.borrow().settled() > settled;
-    let is_relisted = core.shared.list.revision() != list;
-    if is_new || has_advanced || is_relisted || news.suspects.is_some() {
-        core.notify_news();
-    }
-    for outcome in news.usage.iter().filter(|o| o.entry == core.me) {
-        let mut usage = core.usage.borrow_mut();
-        if outcome.taken {
-            usage.accepted(outcome.sequence);
-        } else {
-            usage.refused(outcome.sequence);
-        }
-    }
-}
-
-fn due_usage(
-    core: &Rc<Core>,
-    now: Instant,
-    reported: &mut Option<Instant>,
-) -> Option<crate::command::UsageReport> {
-    let period = usage::report_period(core.shared.entries());
-    if reported.is_some_and(|at| now < at + period) {
-        return None;
-    }
-    let mut usage = core.usage.borrow_mut();
-    let report = usage.next(now, &core.shared.usage)?.clone();
-    *reported = Some(now);
-    Some(report)
-}
-
-async fn report_own_usage(core: &Rc<Core>, reported: &mut Option<Instant>) {
-    let now = core.clock.now();
-    let Some(report) = due_usage(core, now, reported) else {
-        return;
-    };
-    let sequence = report.sequence;
-    let command = Command::AddUsage(report);
-    let deadline = Instant::now() + USAGE_TIMEOUT;
-    match core.submit_here(command, deadline).await {
-        Ok(Reply::Done) => core.usage.borrow_mut().accepted(sequence),
-        Ok(_) => core.usage.borrow_mut().refused(sequence),
-        Err(_) => {}
-    }
-}
-
 /// Promotes learners on the leader, and asks to become a member on a voter that is none.
 async fn keep_members(core: Rc<Core>) {
     loop {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod control;
 mod control_answer;
 pub mod control_core;
+mod control_poll;
 mod control_relay;
 pub mod control_shared;
 pub mod control_thread;
