Tell a long list although its reading took long, and poll a small group as often as before

The age of the list counted from the begin of its reading: beside the readings of all entries the leader took longer for 60 pages than a list is fresh, so it never told one. Change: the age counts from the end of the reading; in a fleet of 32 and more an instance waits 10 s for the leader's reading before it reads itself.

Cause, polls: with an expired view an instance waited up to 375 ms between polls, 125 ms before, which lengthens an outage of a small group. Change: the longer pauses are for groups that are found through seeds only.

--- a/lib/src/control_poll.rs
+++ b/lib/src/control_poll.rs
@@ -62,8 +62,12 @@
             pause_before_retry().await;
         } else {
             // Nothing is served any more, so the voters are spared a storm of polls.
-            let pause = EXPIRED_PAUSE * misses.min(EXPIRED_PAUSES);
-            sleep(pause.mul_f64(rand::rng().random_range(0.5..1.0))).await;
+            let pause = match core.discovers() {
+                // A whole fleet may have started at once.
+                true => EXPIRED_PAUSE * misses.min(EXPIRED_PAUSES),
+                false => EXPIRED_PAUSE,
+            };
+            sleep(pause.mul_f64(rand::rng().random_range(0.8..1.0))).await;
         }
     }
 }
--- a/lib/src/discovery.rs
+++ b/lib/src/discovery.rs
@@ -20,6 +20,7 @@
 use crate::clock::Clock;
 use crate::cluster_control::ClusterControl;
 use crate::control::Control;
+use crate::control_core::DIRECT_POLLERS;
 use crate::dialect::Dialect;
 use crate::dialect::ListedEndpoint;
 use crate::fleet::Fleet;
@@ -43,6 +44,10 @@
 /// Time after the start in which the shared list is expected: an election and one reading of the leader.
 const START_PATIENCE: Duration = Duration::from_secs(3);
 
+/// Time for which a large fleet waits for the leader's reading: a new election, and some seconds for a list
+/// of thousands.
+const FLEET_PATIENCE: Duration = Duration::from_secs(10);
+
 /// Instances that are assumed until their number is known.
 const UNKNOWN_ENTRIES: f64 = 300.0;
 
@@ -143,9 +148,11 @@
         let Some((read, revision, list)) = config.control.list().fresh(now) else {
             let draw = rand::rng().random_range(0.0..1.0);
             let (since, draw) = *self.missing.get_or_insert((now, draw));
-            let patience = match self.known {
-                true => Duration::ZERO,
-                false => START_PATIENCE,
+            let patience = match (self.known, config.control.entries()) {
+                // Others would take the calls from the leader, which reads for all.
+                (_, DIRECT_POLLERS..) => FLEET_PATIENCE,
+                (false, _) => START_PATIENCE,
+                (true, _) => Duration::ZERO,
             };
             let wait = patience + own_pause(config, 1).mul_f64(draw);
             if now.saturating_duration_since(since) < wait {
--- a/lib/src/site_duties.rs
+++ b/lib/src/site_duties.rs
@@ -209,11 +209,15 @@
 ) -> std::io::Result<CallThread<Instant, Result<Vec<ListedEndpoint>, String>>> {
     let platform = Platform::new(config.platform, config.clock.clone());
     let (dialect, control) = (config.dialect.clone(), config.control.clone());
+    let clock = config.clock.clone();
     CallThread::start("endpoint-list", move |began: &Instant| {
         let publish = |page: &[ListedEndpoint]| control.list().publish_page(epoch, page);
         let reading = discovery::read_list(dialect.as_ref(), &platform, publish);
         let reading = reading.map_err(|error| error.to_string())?;
-        control.list().publish(*began, epoch, &reading.list);
+        // A long list takes seconds to read; its age counts from the end, or it would be old when it is
+        // whole, and all instances would read it themselves.
+        tracing::debug!(took = ?began.elapsed(), pages = reading.pages, "read the endpoint list");
+        control.list().publish(clock.now(), epoch, &reading.list);
         Ok(reading.list)
     })
 }
