Relay in large fleets and on platforms with seeds only, and install a list without comparing all pairs

Change: a small group without seeds relays nothing and stays with the voter that answers, as before.

A list was installed with a comparison of each endpoint with all others of its service, 4.5 million at 3,000.

--- a/lib/src/control_poll.rs
+++ b/lib/src/control_poll.rs
@@ -33,7 +33,7 @@
 
 /// Keeps the view fresh by polling the leader.
 pub(crate) async fn keep_polling(core: Rc<Core>) {
-    let mut failed = None;
+    let (mut last, mut failed) = (None, None);
     let mut misses = 0;
     let mut reported: Option<Instant> = None;
     let mut granted: Option<Instant> = None;
@@ -48,15 +48,15 @@
             sleep(POLL_HOLD / 5).await;
             continue;
         }
-        let Some(address) = core.poll_upstream(failed) else {
+        let Some(address) = core.poll_upstream(last, failed) else {
             sleep(POLL_HOLD).await;
             continue;
         };
         if poll_once(&core, address, &mut reported).await {
-            (failed, misses) = (None, 0);
+            (last, failed, misses) = (Some(address), None, 0);
             continue;
         }
-        (failed, misses) = (Some(address), misses + 1);
+        (last, failed, misses) = (None, Some(address), misses + 1);
         let valid = core.subscriber.borrow().lease().is_valid(core.clock.now());
         if valid {
             pause_before_retry().await;
--- a/lib/src/control_relay.rs
+++ b/lib/src/control_relay.rs
@@ -72,9 +72,11 @@
 }
 
 impl Core {
-    /// Tells whether this instance may answer polls for the leader.
+    /// Tells whether this instance may answer polls for the leader. In a small group without seeds nobody
+    /// does: what a relay grants delays a change until it ends.
     pub(crate) fn can_relay(&self) -> bool {
-        self.voter.borrow().is_some() && !self.is_leader()
+        let is_large = self.discovers() || self.shared.entries() > self.direct;
+        is_large && self.voter.borrow().is_some() && !self.is_leader()
     }
 
     /// Takes in what the leader told, for the instances that poll this one; returns whether it is news
@@ -148,11 +150,6 @@
         if request.below.is_some() || !self.can_relay() {
             return Err(NotLeading);
         }
-        // In a small fleet an instance asks a relay once at most, and what it was granted here would delay
-        // a change until it ends. Where the group is found through seeds, a whole fleet may start at once.
-        if !self.discovers() && self.shared.entries() <= self.direct {
-            return Err(NotLeading);
-        }
         let now = self.clock.now();
         let age = self.subscriber.borrow().lease().age(now);
         let age = age.filter(|age| *age < RELAY_AGE).ok_or(NotLeading)?;
@@ -211,7 +208,14 @@
 
     /// Returns the voter to poll: the leader in a small fleet and for quota, which only it grants, and
     /// for relays; otherwise one that follows.
-    pub(crate) fn poll_upstream(&self, failed: Option<SocketAddr>) -> Option<SocketAddr> {
+    ///
+    /// `last` answered the last poll, `failed` did not. A small group without seeds stays with the voter
+    /// that answers, since only the leader does.
+    pub(crate) fn poll_upstream(
+        &self,
+        last: Option<SocketAddr>,
+        failed: Option<SocketAddr>,
+    ) -> Option<SocketAddr> {
         let is_direct = self.shared.entries() <= self.direct
             || self.voter.borrow().is_some()
             || self.shared.shares.is_in_use();
@@ -219,7 +223,8 @@
         let mut relays = self.upstreams();
         relays.retain(|address| Some(*address) != leader);
         if is_direct || relays.is_empty() {
-            return self.next_upstream(failed);
+            let last = last.filter(|_| !self.discovers());
+            return last.or_else(|| self.next_upstream(failed));
         }
         let now = Instant::now();
         let name = affinity::hash_name(self.me.instance.as_str());
--- a/lib/src/control_thread.rs
+++ b/lib/src/control_thread.rs
@@ -461,7 +461,7 @@
         let mut reported = None;
         let _ = timeout(remaining(deadline), report_own_usage(core, &mut reported)).await;
         hand_over(core, deadline).await;
-    } else if let Some(address) = core.poll_upstream(None) {
+    } else if let Some(address) = core.poll_upstream(None, None) {
         let mut reported = None;
         let last = poll_once(core, address, &mut reported);
         let _ = timeout(remaining(deadline), last).await;
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -20,6 +20,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -257,11 +258,12 @@
         self.installed = Some(now);
         let mut changes = Vec::new();
         let mut services: HashMap<ServiceId, Vec<EndpointId>> = HashMap::new();
+        let mut seen: HashSet<(ServiceId, EndpointId)> = HashSet::new();
         for listed in list {
-            let ids = services.entry(listed.service.clone()).or_default();
-            if ids.contains(&listed.id) {
+            if !seen.insert((listed.service.clone(), listed.id.clone())) {
                 continue;
             }
+            let ids = services.entry(listed.service.clone()).or_default();
             ids.push(listed.id.clone());
             match self.endpoints.get_mut(&listed.id) {
                 Some(known) if known.listed.address == listed.address => {
@@ -278,7 +280,7 @@
                 }
             }
         }
-        let known: std::collections::HashSet<_> = services.values().flatten().collect();
+        let known: HashSet<_> = services.values().flatten().collect();
         self.endpoints.retain(|id, endpoint| {
             let keeps = known.contains(id);
             if !keeps {
