Let what others have at an engine order endpoints only, and read the list soon after the start

Change: crowding orders endpoints and is no part of the expected time; an entry reads a page itself from 0.3 s after its start while it knows nobody; observations below the rate count by a thousandth again after the first twelve.

--- a/lib/src/discovery.rs
+++ b/lib/src/discovery.rs
@@ -41,15 +41,15 @@
 /// Longest interval after failed readings.
 const MAX_RETRY: Duration = Duration::from_secs(5);
 
-/// Time after the start in which the shared list is expected: an election and one reading of the leader.
-const START_PATIENCE: Duration = Duration::from_secs(3);
+/// Time after the start in which the shared list is expected, where a leader was there before.
+const START_PATIENCE: Duration = Duration::from_millis(300);
 
 /// Time for which a large fleet waits for the leader's reading: a new election, and some seconds for a list
 /// of thousands.
 const FLEET_PATIENCE: Duration = Duration::from_secs(10);
 
 /// Instances that are assumed until their number is known.
-const UNKNOWN_ENTRIES: f64 = 300.0;
+const UNKNOWN_ENTRIES: f64 = 30.0;
 
 /// Time in which each instance may read the pages of its part of the rate.
 const OWN_PERIOD: Duration = Duration::from_secs(10);
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -62,11 +62,11 @@
 /// as that of a caller who asks again, seems to be read at any rate.
 const MOST_FASTER: f64 = 2.0;
 
-/// Weight of an observation below the known reading rate: queues and unknown prompts make most of them too
-/// low, so each proves little, and the known rate settles where one in 30 is above it.
-const SLOWER_WEIGHT: f64 = 0.01;
+/// Weight of an observation below the known reading rate: requests of other instances make most of them too
+/// low, all the more under load, so each proves little.
+const SLOWER_WEIGHT: f64 = 0.001;
 
-/// Weight of the first observations below an assumed rate, of which an instance of a large fleet sees few.
+/// Weight of the first observations below an assumed rate, before there is load.
 const FIRST_WEIGHT: f64 = 0.08;
 
 /// Number of those first observations.
@@ -320,7 +320,7 @@
         let suits = |e: &Endpoint| readers.is_empty() || is_long == readers.contains(&e.hash);
         let copied = self.engines.get(want.service).and_then(|e| e.copied);
         let holders = Holders::find(now, want.parts, copied, self.of(want.service), suits);
-        let mut best: Option<(f64, &Endpoint, u32, Option<SocketAddr>)> = None;
+        let mut best: Option<(f64, f64, &Endpoint, u32, Option<SocketAddr>)> = None;
         for endpoint in self.of(want.service).filter(|e| e.is_usable(now)) {
             if want.excluded.contains(&endpoint.listed.id) {
                 continue;
@@ -345,12 +345,13 @@
             if !suits(endpoint) {
                 score += if is_long { KEPT_DELAY } else { READER_DELAY };
             }
-            if best.is_none_or(|(least, ..)| score < least) {
+            let place = score + endpoint.crowding(now, rate);
+            if best.is_none_or(|(least, ..)| place < least) {
                 let source = source.map(|source| source.address);
-                best = Some((score, endpoint, unread, source));
+                best = Some((place, score, endpoint, unread, source));
             }
         }
-        let (score, endpoint, unread, source) = best.ok_or_else(|| self.nowhere(now, want))?;
+        let (_, score, endpoint, unread, source) = best.ok_or_else(|| self.nowhere(now, want))?;
         let expected = Duration::from_secs_f64(score / 1_000.0);
         if expected > want.left && !endpoint.is_doubtful(now) {
             return Err(NoChoice::Late { expected });
--- a/lib/src/fleet_endpoint.rs
+++ b/lib/src/fleet_endpoint.rs
@@ -260,8 +260,8 @@
         self.is_silent(now) || self.recent_failures(now) > DOUBTFUL
     }
 
-    /// Returns how many requests it is taken to run and to queue.
-    fn busy(&self, now: Instant) -> (f64, f64) {
+    /// Returns how many requests it is taken to run and to queue, at least `all`.
+    fn busy(&self, now: Instant, all: f64) -> (f64, f64) {
         let own = self.own.len() as f64;
         let (running, waiting) = match self.load {
             Some((load, at, then)) if now.saturating_duration_since(at) < STALE => {
@@ -272,24 +272,35 @@
             _ => (own, 0.0),
         };
         let slots = f64::from(self.listed.slots.max(1));
-        let all = own + f64::from(self.others(now).calls);
-        let running = match all > slots * OTHERS_USE {
-            true => running.max(all),
-            false => running,
-        };
+        let running = running.max(all);
         (running.min(slots), waiting + (running - slots).max(0.0))
     }
 
+    /// Returns the disadvantage in milliseconds of an endpoint that other instances have crowded.
+    ///
+    /// It is no part of the expected time: half a second old, it may order endpoints but turn nobody away.
+    pub(crate) fn crowding(&self, now: Instant, rate: f64) -> f64 {
+        let others = self.others(now);
+        let reading = (f64::from(others.unread) / rate - OTHERS_TIME).max(0.0);
+        let slots = f64::from(self.listed.slots.max(1));
+        let all = self.own.len() as f64 + f64::from(others.calls);
+        if all <= slots * OTHERS_USE {
+            return reading;
+        }
+        reading + self.load_delay(now, all) - self.load_delay(now, 0.0)
+    }
+
+    /// Returns the delay in milliseconds by the requests that run and wait, at least `all`.
+    fn load_delay(&self, now: Instant, all: f64) -> f64 {
+        let (running, waiting) = self.busy(now, all);
+        let use_share = running / f64::from(self.listed.slots.max(1));
+        FULL_DELAY * use_share * use_share + WAITING_DELAY * waiting
+    }
+
     /// Returns the expected time to the first byte in milliseconds.
     pub(crate) fn delay(&self, now: Instant, unread: u32, rate: f64, zone: &ZoneId) -> f64 {
-        let (running, waiting) = self.busy(now);
         let tokens = self.unread() as f64 + f64::from(unread);
-        let others = f64::from(self.others(now).unread) / rate;
-        let use_share = running / f64::from(self.listed.slots.max(1));
-        let mut delay = tokens / rate
-            + (others - OTHERS_TIME).max(0.0)
-            + FULL_DELAY * use_share * use_share
-            + WAITING_DELAY * waiting;
+        let mut delay = tokens / rate + self.load_delay(now, 0.0);
         if self.listed.zone != *zone {
             delay += ZONE_DELAY;
         }
