--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -66,12 +66,6 @@
 /// low, all the more under load, so each proves little.
 const SLOWER_WEIGHT: f64 = 0.001;
 
-/// Weight of the first observations below an assumed rate, before there is load.
-const FIRST_WEIGHT: f64 = 0.08;
-
-/// Number of those first observations.
-const FIRST_COUNT: u32 = 12;
-
 /// Fewest unread tokens from which the reading rate is observed; below it the steps of the running
 /// requests dominate.
 const OBSERVED_TOKENS: u32 = 2_000;
@@ -197,8 +191,8 @@
     endpoints: BTreeMap<EndpointId, Endpoint>,
     services: HashMap<ServiceId, Vec<EndpointId>>,
     engines: HashMap<ServiceId, EngineKind>,
-    /// Reading rates in tokens a millisecond, and the observations they come from.
-    rates: HashMap<ServiceId, (f64, u32)>,
+    /// Reading rates in tokens a millisecond.
+    rates: HashMap<ServiceId, f64>,
     flows: HashMap<ServiceId, Flows>,
     /// The most urgent request that was turned away lately, and when.
     turned: HashMap<ServiceId, (Instant, u8)>,
@@ -311,7 +305,7 @@
         if self.yields(now, want) {
             return Err(NoChoice::Yields);
         }
-        let rate = self.rate(want);
+        let rate = self.rates.get(want.service).copied().unwrap_or(READ_RATE);
         if want.draw < self.excess(now, want, rate) {
             return Err(NoChoice::Full);
         }
@@ -369,15 +363,6 @@
         })
     }
 
-    /// Returns the reading rate of a service's engines: what all instances saw, or else this one.
-    fn rate(&self, want: &Want<'_>) -> f64 {
-        let own = self.rates.get(want.service).map(|(rate, _)| *rate);
-        match want.total.rate > 0.0 {
-            true => want.total.rate,
-            false => own.unwrap_or(READ_RATE),
-        }
-    }
-
     /// Returns why no endpoint can be chosen at all.
     fn nowhere(&self, now: Instant, want: &Want<'_>) -> NoChoice {
         let ends = self.of(want.service).filter_map(Endpoint::resumes);
@@ -466,7 +451,7 @@
                 long: flows.long.get(now),
                 short: flows.short.get(now),
                 calls: calls as f64,
-                rate: self.rates.get(service).map_or(0.0, |(rate, _)| *rate),
+                rate: self.rates.get(service).copied().unwrap_or(0.0),
             };
             (service.clone(), work)
         };
@@ -593,12 +578,10 @@
             let seen = f64::from(call.certain) / took.max(1.0);
             let seen = seen.clamp(*READ_RATES.start(), *READ_RATES.end());
             let service = endpoint.listed.service.clone();
-            let (rate, count) = self.rates.entry(service).or_insert((READ_RATE, 0));
-            *count = count.saturating_add(1);
+            let rate = self.rates.entry(service).or_insert(READ_RATE);
             let seen = seen.min(*rate * MOST_FASTER);
             let weight = match seen > *rate {
                 true => FASTER_WEIGHT,
-                false if *count <= FIRST_COUNT => FIRST_WEIGHT,
                 false => SLOWER_WEIGHT,
             };
             *rate += (seen - *rate) * weight;
