Show in logs and metrics which requests come again and how calls end

The incident of the deadly request could not be told apart from its neighbours: an attempt's line named the id, which each attempt of a caller has anew, but neither what the request is nor how many endpoints its route allows, and an answer that broke off after its start had a line without an endpoint, or none.

Attempts and breaks now carry a keyed hash of workspace, method, path and body, which is the same at every entry and tells nothing of the prompt, and the route's limit. fulmarford_call_ends counts calls without a usable answer by how they ended. No decision changes.

--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -32,6 +32,7 @@
 use crate::control::Control;
 use crate::dialect::Ask;
 use crate::dialect::Dialect;
+use crate::fingerprint::Fingerprinter;
 use crate::fleet::Fleet;
 use crate::forward_job::Job;
 use crate::forward_job::Refusal;
@@ -93,6 +94,8 @@
     pub changes: watch::Receiver<()>,
     /// Time for which a configuration is served without contact to the group.
     pub stale_limit: Duration,
+    /// Recognises requests that come again.
+    pub fingerprints: Fingerprinter,
     /// Repeats that each service bears.
     pub repeats: SharedTerms,
     /// Counters and histograms.
@@ -299,15 +302,21 @@
         let service = route.pick(&mut rand::rng()).clone();
         let engine = table.service(&service).and_then(|s| s.engine.clone());
         self.earn(&service);
+        let target = head.uri.path_and_query().map_or_else(
+            || head.uri.path().to_owned(),
+            |target| target.as_str().to_owned(),
+        );
+        let print =
+            self.settings
+                .fingerprints
+                .of(workspace.as_ref(), head.method.as_str(), &target, &body);
         let job = Job {
             forwarder: self.clone(),
             client: CLIENT.with(Client::clone),
             headers: forwarded(&head.headers),
             method: head.method,
-            target: head.uri.path_and_query().map_or_else(
-                || head.uri.path().to_owned(),
-                |target| target.as_str().to_owned(),
-            ),
+            target,
+            print,
             body,
             ask,
             route,
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -19,6 +19,7 @@
 use crate::dialect::Ask;
 use crate::dialect::Onward;
 use crate::dialect::RunCopy;
+use crate::fingerprint::Fingerprint;
 use crate::fleet::CallEnd;
 use crate::fleet::Choice;
 use crate::fleet::NoChoice;
@@ -114,6 +115,8 @@
     pub method: http::Method,
     /// Path and query.
     pub target: String,
+    /// Recognises the request in other attempts of its caller.
+    pub print: Fingerprint,
     pub headers: HeaderMap,
     pub body: Bytes,
     pub ask: Ask,
@@ -414,14 +417,20 @@
 
     fn log_attempt(&self, flight: &Flight, end: Option<CallEnd>) {
         let took = self.now().saturating_duration_since(flight.sent);
-        self.forwarder.settings.metrics.first(&self.service, took);
+        let metrics = &self.forwarder.settings.metrics;
+        metrics.first(&self.service, took);
+        if let Some(end) = end {
+            metrics.ended(&self.service, end.name());
+        }
         tracing::info!(
             request = self.ask.id,
+            print = %self.print,
             route = %self.route.id,
             revision = self.revision,
             service = %self.service,
             endpoint = %flight.choice.listed.id,
             attempt = self.attempts,
+            allowed = self.route.attempts,
             rank = self.rank,
             unread = flight.choice.unread,
             expected_ms = flight.choice.expected.as_millis() as u64,
@@ -433,6 +442,21 @@
         );
     }
 
+    /// Logs that an answer broke off after its start, of which the line of the attempt says nothing.
+    pub(crate) fn log_break(&self, flight: &Flight, error: &dyn std::fmt::Display) {
+        let metrics = &self.forwarder.settings.metrics;
+        metrics.ended(&self.service, "broken off");
+        tracing::info!(
+            request = self.ask.id,
+            print = %self.print,
+            service = %self.service,
+            endpoint = %flight.choice.listed.id,
+            attempt = self.attempts,
+            %error,
+            "answer broke off"
+        );
+    }
+
     async fn exchange(
         &mut self,
         flight: &mut Flight,
@@ -575,7 +599,7 @@
                 Ok(self.stream(started))
             }
             Ok(Err(error)) => {
-                tracing::info!(request = self.ask.id, %error, "answer broke off");
+                self.log_break(&flight, &error);
                 flight.end(CallEnd::Broken);
                 drop(flight);
                 drop(answer);
--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -182,8 +182,14 @@
                         false => RelayEnd::Left,
                     }
                 }
-                Ok(Err(_)) => RelayEnd::Broken,
-                Err(_) if limit < left => RelayEnd::Broken,
+                Ok(Err(error)) => {
+                    self.log_break(&started.flight, &error);
+                    RelayEnd::Broken
+                }
+                Err(_) if limit < left => {
+                    self.log_break(&started.flight, &"no whole event in time");
+                    RelayEnd::Broken
+                }
                 Err(_) => RelayEnd::Late,
             };
         }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod explain;
 pub mod fairness;
 pub mod file_storage;
+pub mod fingerprint;
 pub mod fleet;
 mod fleet_endpoint;
 pub mod forward;
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use eyre::Context as _;
+use eyre::OptionExt as _;
 
 use crate::answer;
 use tokio::sync::watch;
@@ -25,6 +26,7 @@
 use crate::discovery::Discovery;
 use crate::document_desk::DocumentDesk;
 use crate::file_storage::FileStorage;
+use crate::fingerprint::Fingerprinter;
 use crate::fleet::Fleet;
 use crate::forward;
 use crate::forward::ForwardFront;
@@ -170,6 +172,7 @@
             fleet: fleet.clone(),
             changes,
             stale_limit: self.settings.stale_limit,
+            fingerprints: fingerprinter(&self.settings.secrets)?,
             repeats: self.settings.repeats,
             metrics,
         });
@@ -245,6 +248,13 @@
     }
 }
 
+/// Returns the common recognition of requests, by the secret that all instances use first.
+fn fingerprinter(secrets: &str) -> eyre::Result<Fingerprinter> {
+    let secrets = Secrets::parse(secrets).wrap_err("peer secrets")?.all();
+    let first = secrets.first().ok_or_eyre("no peer secret")?;
+    Ok(Fingerprinter::new(first))
+}
+
 fn start_control(settings: &NodeSettings, clock: Arc<dyn Clock>) -> eyre::Result<ControlThread> {
     let store = match &settings.data {
         Some(folder) => {
--- a/lib/src/traffic_metrics.rs
+++ b/lib/src/traffic_metrics.rs
@@ -24,6 +24,7 @@
     served: IntCounterVec,
     refused: IntCounterVec,
     moved: IntCounterVec,
+    ends: IntCounterVec,
     total: HistogramVec,
     first: HistogramVec,
 }
@@ -49,6 +50,13 @@
                 Opts::new("fulmarford_moved_runs", "Runs at engines that left"),
                 &["outcome"],
             )?,
+            ends: IntCounterVec::new(
+                Opts::new(
+                    "fulmarford_call_ends",
+                    "Calls at endpoints without a usable answer",
+                ),
+                &["service", "end"],
+            )?,
             total: latency(
                 "fulmarford_answer_seconds",
                 "Arrival to the end of an answer",
@@ -62,6 +70,7 @@
             .registry
             .register(Box::new(metrics.refused.clone()))?;
         metrics.registry.register(Box::new(metrics.moved.clone()))?;
+        metrics.registry.register(Box::new(metrics.ends.clone()))?;
         metrics.registry.register(Box::new(metrics.total.clone()))?;
         metrics.registry.register(Box::new(metrics.first.clone()))?;
         Ok(metrics)
@@ -87,6 +96,12 @@
         self.refused.with_label_values(&[code.as_str()]).inc();
     }
 
+    /// Counts a call that ended without a usable answer; `end` names how.
+    pub fn ended(&self, service: &ServiceId, end: &str) {
+        let labels = [service.as_str(), end];
+        self.ends.with_label_values(&labels).inc();
+    }
+
     /// Counts a run whose engine left, by where it goes on.
     pub fn moved(&self, place: Place) {
         let place = place.to_string();
