Withhold requests under which endpoints end, at all instances

Cause: nothing on the platform's path remembered a request beyond one attempt of its caller. A bound that holds over all instances and all attempts was kept by each attempt alone. The quarantine of the own interface is neither asked nor told by forward.

Now a broken call makes its instance look at the endpoint. If that has ended, each request that was there gets a note, which travels with the polls, through relays, to the leader, and is told again to a new relay or leader. Two ends without an answer in between convict; the verdict is committed and spread as suspects are. An answer clears notes, and a quarantine that is older. The refusal is 503 with code 1305, which says truly that the request was not run, and Retry-After of the hour for which it is withheld.

Why it works: every crash at a machine in touch is told within one poll that a note interrupts, two of them suffice where three are allowed, and no note lives in one process only until its verdict is committed, but where its reporter and its relay or leader end within the same second.

--- a/lib/src/cluster_control.rs
+++ b/lib/src/cluster_control.rs
@@ -24,6 +24,7 @@
 use crate::control_shared::Request;
 use crate::control_shared::Shared;
 use crate::control_shared::Status;
+use crate::crash_note::CrashNote;
 use crate::ids::WorkspaceId;
 use crate::rule_state::CommittedChange;
 use crate::shared_list::SharedList;
@@ -135,6 +136,11 @@
         self.shared.told.append(sightings);
     }
 
+    /// Tells the leader what happened to requests at endpoints that ended.
+    pub fn note(&self, now: Instant, notes: &[CrashNote]) {
+        self.shared.note(now, notes);
+    }
+
     /// Returns what the other instances told since the last call.
     pub fn heard(&self) -> Vec<Sighting> {
         self.shared.heard.take()
--- a/lib/src/code.rs
+++ b/lib/src/code.rs
@@ -93,6 +93,8 @@
     QueueTimeout = 1303, 503, "overloaded_error", "the deadline passed while the request was queued";
     /// The request crashed endpoints before and is not run again.
     Quarantined = 1304, 422, "invalid_request_error", "the request is quarantined because it crashed endpoints";
+    /// Endpoints ended under the request, so it is sent to none for a time.
+    Withheld = 1305, 503, "overloaded_error", "the request was not run because endpoints ended under it before";
     /// The instance is stopping.
     Draining = 1401, 503, "overloaded_error", "this instance is shutting down";
     /// The instance's view of keys and rules is too old to serve.
--- a/lib/src/command.rs
+++ b/lib/src/command.rs
@@ -127,6 +127,16 @@
     ReadDocument,
     /// Sets the length of usage windows.
     SetUsageTerms(UsageTerms),
+    /// Quarantines a request that the notes of all instances convict ([`crate::crash_book`]).
+    Quarantine {
+        /// Fingerprint of the request.
+        fingerprint: u64,
+    },
+    /// Clears a request that was answered since the crashes it was quarantined for.
+    Acquit {
+        /// Fingerprint of the request.
+        fingerprint: u64,
+    },
 }
 
 impl Command {
--- a/lib/src/control_answer.rs
+++ b/lib/src/control_answer.rs
@@ -11,11 +11,14 @@
 use crate::command::Reply;
 use crate::command::UsageReport;
 use crate::control::SubmitError;
+use crate::control::Suspicion;
 use crate::control_core::Core;
 use crate::control_core::MAX_SUBMIT;
 use crate::control_core::POLL_HOLD;
 use crate::control_core::leader_known;
 use crate::control_shared::remaining;
+use crate::crash_book::Verdict;
+use crate::crash_note::CrashNote;
 use crate::dissemination::Publisher;
 use crate::ids::InstanceId;
 use crate::peer::Answer;
@@ -44,6 +47,7 @@
         let mut usage = Vec::new();
         let leads = self.is_leader();
         if leads {
+            self.judge(&request.crashes);
             let reports = std::mem::take(&mut request.usage);
             usage.extend(reports.into_iter().map(|report| self.take_usage(report)));
         } else {
@@ -72,6 +76,41 @@
         }
     }
 
+    /// Takes in notes about requests at endpoints that ended, and proposes the verdicts that follow.
+    pub(crate) fn judge(&self, notes: &[CrashNote]) {
+        let now = self.clock.now();
+        let mut book = self.crash_book.borrow_mut();
+        for note in notes {
+            book.add(now, note);
+        }
+        let verdicts = {
+            let voter = self.voter.borrow();
+            let Some(voter) = voter.as_ref() else { return };
+            let suspects = voter.state().suspects();
+            book.verdicts(now, |print| {
+                suspects.suspicion(print.0) == Suspicion::Quarantined
+            })
+        };
+        for verdict in verdicts {
+            let command = match verdict {
+                Verdict::Quarantine { print, ends } => {
+                    tracing::warn!(%print, ends, "quarantines a request under which endpoints ended");
+                    Command::Quarantine {
+                        fingerprint: print.0,
+                    }
+                }
+                Verdict::Acquit { print } => {
+                    tracing::info!(%print, "acquits a request that was answered");
+                    Command::Acquit {
+                        fingerprint: print.0,
+                    }
+                }
+            };
+            // Until it is in force, the book returns the verdict again.
+            drop(self.propose(command));
+        }
+    }
+
     fn take_usage(&self, report: UsageReport) -> PendingUsage {
         let (entry, sequence) = (report.entry.clone(), report.sequence);
         let receiver = self.propose(Command::AddUsage(report));
--- a/lib/src/control_core.rs
+++ b/lib/src/control_core.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::MutexGuard;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -27,6 +28,8 @@
 use crate::control_shared::Published;
 use crate::control_shared::Shared;
 use crate::control_shared::remaining;
+use crate::crash_book::CrashBook;
+use crate::crash_note::NoteOutbox;
 use crate::dissemination::Subscriber;
 use crate::ids::InstanceId;
 use crate::peer::Identity;
@@ -149,6 +152,8 @@
     pub(crate) works: RefCell<WorkSum>,
     /// Prompt parts that the instances which poll this one sent to engines.
     pub(crate) sightings: RefCell<SightingBoard>,
+    /// What instances noted about requests at endpoints that ended, for the leader's verdicts.
+    pub(crate) crash_book: RefCell<CrashBook>,
     seen: Cell<(bool, Version, Version, u64, ListRevision)>,
 }
 
@@ -194,6 +199,7 @@
             pools: RefCell::default(),
             works: RefCell::default(),
             sightings: RefCell::default(),
+            crash_book: RefCell::default(),
             seen: Cell::default(),
         })
     }
@@ -207,6 +213,11 @@
             .clone()
     }
 
+    /// Returns the notes about requests that are on their way to the leader.
+    pub(crate) fn notes(&self) -> MutexGuard<'_, NoteOutbox> {
+        self.shared.crashes.lock().expect("notes lock poisoned")
+    }
+
     /// Tells whether this instance is an established leader.
     pub(crate) fn is_leader(&self) -> bool {
         self.voter.borrow().as_ref().is_some_and(Voter::is_leader)
@@ -611,6 +622,8 @@
             | Command::ReplaceDocument(_)
             | Command::ReadDocument
             | Command::SetUsageTerms(_)
+            | Command::Quarantine { .. }
+            | Command::Acquit { .. }
     )
 }
 
--- a/lib/src/control_poll.rs
+++ b/lib/src/control_poll.rs
@@ -14,6 +14,7 @@
 use crate::control_core::POLL_HOLD;
 use crate::control_core::POLL_TIMEOUT;
 use crate::control_core::pause_before_retry;
+use crate::crash_note::Upstream;
 use crate::ids::InstanceId;
 use crate::peer_message::News;
 use crate::peer_message::PollRequest;
@@ -45,6 +46,7 @@
                 core.grant_own();
             }
             report_own_usage(&core, &mut reported).await;
+            judge_own(&core);
             sleep(POLL_HOLD / 5).await;
             continue;
         }
@@ -57,6 +59,7 @@
             continue;
         }
         (last, failed, misses) = (None, Some(address), misses + 1);
+        core.notes().forget_upstream();
         let valid = core.subscriber.borrow().lease().is_valid(core.clock.now());
         if valid {
             pause_before_retry().await;
@@ -97,6 +100,11 @@
     let settled = core.subscriber.borrow().settled();
     let watch = core.watch.get().filter(|version| settled < *version);
     core.watch.set(watch);
+    let upstream = Upstream {
+        address,
+        epoch: core.subscriber.borrow().epoch(),
+    };
+    let (crashes, noted) = core.notes().due(sent, upstream);
     let request = encode(&PollRequest {
         poll: {
             let settled = core.settled_below(sent);
@@ -114,18 +122,21 @@
             Some(_) => core.shared.list.revision(),
             None => core.shared.list.held(),
         },
+        crashes,
     });
     let answer = tokio::select! {
         answer = link.poll(&request, POLL_TIMEOUT) => answer,
         // Somebody began to wait for a version, which this poll does not mention.
         () = core.repoll.notified(), if watch.is_none() => return true,
         () = core.advanced.notified() => return true,
+        () = core.shared.noted.notified() => return true,
     };
     match answer.ok().as_deref().and_then(decode) {
         Some(PollResponse::News(news)) => {
             core.set_hint(news.leader.clone());
             let from = link.peer().unwrap_or_else(|| core.me.instance.clone());
             install(core, from, sent, *news);
+            core.notes().accepted(upstream, noted);
             true
         }
         Some(PollResponse::Elsewhere { leader }) => {
@@ -188,6 +199,18 @@
     }
 }
 
+/// Takes in the notes of the leader's own instance, and of those that it answered as a relay.
+fn judge_own(core: &Rc<Core>) {
+    let now = core.clock.now();
+    let own = Upstream {
+        address: core.address,
+        epoch: core.subscriber.borrow().epoch(),
+    };
+    let (notes, next) = core.notes().due(now, own);
+    core.notes().accepted(own, next);
+    core.judge(&notes);
+}
+
 fn due_usage(
     core: &Rc<Core>,
     now: Instant,
--- a/lib/src/control_relay.rs
+++ b/lib/src/control_relay.rs
@@ -204,6 +204,7 @@
         let mut works = self.works.borrow_mut();
         works.set(now, poller, request.work.clone());
         self.shared.told.append(request.sightings.clone());
+        self.shared.note(now, &request.crashes);
     }
 
     /// Returns the voter to poll: the leader in a small fleet and for quota, which only it grants, and
--- a/lib/src/control_shared.rs
+++ b/lib/src/control_shared.rs
@@ -27,6 +27,8 @@
 use crate::command::Window;
 use crate::control::SubmitError;
 use crate::control::Suspicion;
+use crate::crash_note::CrashNote;
+use crate::crash_note::NoteOutbox;
 use crate::lease::CLOCK_JUMP;
 use crate::lease::Leases;
 use crate::quota::Shares;
@@ -89,6 +91,10 @@
     pub told: Sightings,
     /// Prompt parts that other instances sent to engines.
     pub heard: Sightings,
+    /// What happened to requests at endpoints that ended, for the leader.
+    pub crashes: Mutex<NoteOutbox>,
+    /// Wakes the poll that takes new ones along.
+    pub noted: Notify,
     /// Instances that serve callers; 0 until it is known.
     entries: AtomicU32,
     queue: Sender<Request>,
@@ -110,6 +116,8 @@
             list: SharedList::default(),
             told: Sightings::default(),
             heard: Sightings::default(),
+            crashes: Mutex::default(),
+            noted: Notify::new(),
             entries: AtomicU32::new(0),
             queue,
             wake: Notify::new(),
@@ -132,6 +140,16 @@
         *self.total.write().expect("work lock poisoned") = Arc::new(told);
     }
 
+    /// Keeps notes for the leader, which are told at once.
+    pub fn note(&self, now: Instant, notes: &[CrashNote]) {
+        let mut outbox = self.crashes.lock().expect("notes lock poisoned");
+        let count = notes.iter().filter(|note| outbox.push(now, note)).count();
+        drop(outbox);
+        if count > 0 {
+            self.noted.notify_one();
+        }
+    }
+
     /// Hands a request to the control thread; returns whether it was accepted.
     pub fn send(&self, request: Request) -> bool {
         let sent = self.queue.try_send(request).is_ok();
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -588,6 +588,15 @@
         }
     }
 
+    /// Tells whether an endpoint is on the list, and whether it will stop soon.
+    pub fn presence(&self, endpoint: &EndpointId) -> Presence {
+        match self.endpoints.get(endpoint) {
+            None => Presence::Unlisted,
+            Some(known) if known.leaves() => Presence::Leaving,
+            Some(_) => Presence::Listed,
+        }
+    }
+
     /// Tells whether the endpoint of a call will stop soon.
     pub fn leaves(&self, ticket: Ticket) -> bool {
         let endpoint = self.places.get(&ticket);
@@ -617,6 +626,17 @@
     }
 }
 
+/// Place of an endpoint on the platform's list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It takes requests.
+    Listed,
+    /// It will stop soon.
+    Leaving,
+    /// It is not on the list.
+    Unlisted,
+}
+
 /// A change on the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ListChange {
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -30,10 +30,12 @@
 use crate::cluster_control::ClusterControl;
 use crate::code::ResultCode;
 use crate::control::Control;
+use crate::culprits::Culprits;
 use crate::dialect::Ask;
 use crate::dialect::Dialect;
 use crate::fingerprint::Fingerprinter;
 use crate::fleet::Fleet;
+use crate::forward_crash::QUARANTINE_TIME;
 use crate::forward_job::Job;
 use crate::forward_job::Refusal;
 use crate::ids::ServiceId;
@@ -107,6 +109,7 @@
     pub(crate) settings: Settings,
     table: RwLock<Option<(Arc<Document>, Arc<RouteTable>)>>,
     budgets: Mutex<std::collections::HashMap<ServiceId, SharedBudget>>,
+    culprits: Mutex<Culprits>,
     started: Instant,
     /// Whether the configuration is too old to be served.
     cut: AtomicBool,
@@ -127,6 +130,7 @@
             settings,
             table: RwLock::default(),
             budgets: Mutex::default(),
+            culprits: Mutex::default(),
             cut: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             open: AtomicUsize::new(0),
@@ -299,9 +303,6 @@
         let (head, body) = request.into_parts();
         let body = read_body(body, table.limits.body, table.limits.arrival).await;
         let body = body.map_err(|code| failed(code.into()))?;
-        let service = route.pick(&mut rand::rng()).clone();
-        let engine = table.service(&service).and_then(|s| s.engine.clone());
-        self.earn(&service);
         let target = head.uri.path_and_query().map_or_else(
             || head.uri.path().to_owned(),
             |target| target.as_str().to_owned(),
@@ -310,6 +311,16 @@
             self.settings
                 .fingerprints
                 .of(workspace.as_ref(), head.method.as_str(), &target, &body);
+        if self.is_withheld(print) {
+            tracing::info!(request = ask.id, %print, "withheld, endpoints ended under it");
+            return Err(failed(Refusal {
+                code: ResultCode::Withheld,
+                retry: Some(QUARANTINE_TIME),
+            }));
+        }
+        let service = route.pick(&mut rand::rng()).clone();
+        let engine = table.service(&service).and_then(|s| s.engine.clone());
+        self.earn(&service);
         let job = Job {
             forwarder: self.clone(),
             client: CLIENT.with(Client::clone),
@@ -384,6 +395,10 @@
         run(budget, now, entries)
     }
 
+    pub(crate) fn culprits(&self) -> std::sync::MutexGuard<'_, Culprits> {
+        self.culprits.lock().expect("culprits lock poisoned")
+    }
+
     pub(crate) fn fleet(&self) -> std::sync::MutexGuard<'_, Fleet> {
         self.settings.fleet.lock().expect("fleet lock poisoned")
     }
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -157,6 +157,7 @@
 /// A call at an endpoint, whose end is recorded once.
 pub(crate) struct Flight {
     forwarder: Arc<Forwarder>,
+    print: Fingerprint,
     pub ticket: Ticket,
     pub choice: Choice,
     sent: Instant,
@@ -165,9 +166,15 @@
 
 impl Flight {
     /// Creates the guard of a call that is about to be sent.
-    pub(crate) fn new(forwarder: &Arc<Forwarder>, choice: Choice, ticket: Ticket) -> Self {
+    pub(crate) fn new(
+        forwarder: &Arc<Forwarder>,
+        print: Fingerprint,
+        choice: Choice,
+        ticket: Ticket,
+    ) -> Self {
         Self {
             forwarder: forwarder.clone(),
+            print,
             ticket,
             choice,
             sent: forwarder.settings.clock.now(),
@@ -176,16 +183,18 @@
     }
 
     /// Records a run that goes on at an endpoint.
-    pub(crate) fn start(forwarder: &Arc<Forwarder>, choice: Choice) -> Self {
+    pub(crate) fn start(forwarder: &Arc<Forwarder>, print: Fingerprint, choice: Choice) -> Self {
         let now = forwarder.settings.clock.now();
         let ticket = forwarder.fleet().start(now, &choice, &[]);
-        Self::new(forwarder, choice, ticket)
+        Self::new(forwarder, print, choice, ticket)
     }
 
     pub(crate) fn end(&mut self, end: CallEnd) {
         if !std::mem::replace(&mut self.ended, true) {
             let now = self.forwarder.settings.clock.now();
             self.forwarder.fleet().end(now, self.ticket, end);
+            self.forwarder
+                .note_end(&self.choice.listed, self.print, end);
         }
     }
 }
@@ -274,6 +283,7 @@
         after_failure(self.route.repeat, end, self.attempts, self.route.attempts) == Next::Again
             && self.unreached <= MAX_UNREACHED
             && self.left() > LEAST_OFFER
+            && !self.forwarder.is_withheld(self.print)
             && (!reached || self.forwarder.spend(&self.service, mend))
     }
 
@@ -354,7 +364,7 @@
                 retry: Some(retry.mul_f64(jitter)),
             }
         });
-        placed.map(|(choice, ticket)| Flight::new(&self.forwarder, choice, ticket))
+        placed.map(|(choice, ticket)| Flight::new(&self.forwarder, self.print, choice, ticket))
     }
 
     /// Sends the request to an endpoint and waits for the first part of the answer.
@@ -644,6 +654,7 @@
         let ended = std::mem::replace(&mut self.ended, true);
         Self {
             forwarder: self.forwarder.clone(),
+            print: self.print,
             ticket: self.ticket,
             choice: self.choice.clone(),
             sent: self.sent,
--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -229,9 +229,9 @@
             (choice.unread, choice.own, choice.source) = (0, 0, None);
             let ticket = fleet.start(now, &choice, &self.ask.parts);
             drop(fleet);
-            Flight::new(&forwarder, choice, ticket)
+            Flight::new(&forwarder, self.print, choice, ticket)
         };
-        let (client, id) = (self.client.clone(), self.ask.id.clone());
+        let (client, id, print) = (self.client.clone(), self.ask.id.clone(), self.print);
         Some(Box::pin(async move {
             let dialect = forwarder.settings.dialect.clone();
             let copier = Copier {
@@ -253,7 +253,7 @@
             match place {
                 Place::Elsewhere => Some(Moved { flight, copy }),
                 Place::Resumed => Some(Moved {
-                    flight: Flight::start(&forwarder, source),
+                    flight: Flight::start(&forwarder, print, source),
                     copy,
                 }),
                 Place::InPlace => None,
--- a/lib/src/peer_message.rs
+++ b/lib/src/peer_message.rs
@@ -12,6 +12,7 @@
 use crate::command::Reply;
 use crate::command::UsageReport;
 use crate::control::Suspicion;
+use crate::crash_note::CrashNote;
 use crate::dissemination::Poll;
 use crate::dissemination::Update;
 use crate::ids::InstanceId;
@@ -48,6 +49,8 @@
     pub sightings: Vec<Sighting>,
     /// State of its copy of the endpoint list.
     pub list: ListRevision,
+    /// What happened to requests at endpoints that ended, also at the instances below the poller.
+    pub crashes: Vec<CrashNote>,
 }
 
 /// Answer to a poll.
--- a/lib/src/simple_state.rs
+++ b/lib/src/simple_state.rs
@@ -112,6 +112,11 @@
             Command::ReadDocument => Reply::Document(self.document()),
             // The naive version knows only the default terms.
             Command::SetUsageTerms(_) => Reply::Done,
+            Command::Quarantine { fingerprint } => self.quarantine(*fingerprint),
+            Command::Acquit { fingerprint } => {
+                self.crashes.retain(|c| c.fingerprint != *fingerprint);
+                Reply::Done
+            }
         }
     }
 
@@ -278,6 +283,19 @@
         Reply::Done
     }
 
+    fn quarantine(&mut self, fingerprint: u64) -> Reply {
+        if self.suspicion(fingerprint) != Suspicion::Quarantined {
+            self.crashes.retain(|c| c.fingerprint != fingerprint);
+            self.crashes.push(Crash {
+                fingerprint,
+                endpoint: "".into(),
+                at: self.now,
+                quarantined: true,
+            });
+        }
+        Reply::Done
+    }
+
     fn clear(&mut self, fingerprint: u64) -> Reply {
         if self.suspicion(fingerprint) == Suspicion::Suspect {
             self.crashes.retain(|c| c.fingerprint != fingerprint);
--- a/lib/src/state.rs
+++ b/lib/src/state.rs
@@ -140,6 +140,14 @@
             Command::ReplaceDocument(document) => self.rules.replace_document(document),
             Command::ReadDocument => Reply::Document(self.rules.document()),
             Command::SetUsageTerms(terms) => parts.usage.set_terms(*terms),
+            Command::Quarantine { fingerprint } => {
+                parts.suspects.quarantine(now, *fingerprint);
+                Reply::Done
+            }
+            Command::Acquit { fingerprint } => {
+                parts.suspects.acquit(*fingerprint);
+                Reply::Done
+            }
         }
     }
 
--- a/lib/src/suspect.rs
+++ b/lib/src/suspect.rs
@@ -90,6 +90,30 @@
         }
     }
 
+    /// Quarantines a request, unless it is quarantined already.
+    pub fn quarantine(&mut self, now: Timestamp, fingerprint: u64) {
+        if self.suspicion(fingerprint) == Suspicion::Quarantined {
+            return;
+        }
+        let record = Record {
+            // Several endpoints ended under it, so a report of any other one is another crash.
+            endpoint: EndpointId::from(""),
+            at: now,
+            quarantined: true,
+        };
+        self.records.insert(fingerprint, record);
+        self.evict(self.records.len().saturating_sub(MAX_SUSPECTS));
+        self.revision += 1;
+        self.plan_expiry();
+    }
+
+    /// Clears a request, whatever is held against it.
+    pub fn acquit(&mut self, fingerprint: u64) {
+        if self.records.remove(&fingerprint).is_some() {
+            self.revision += 1;
+        }
+    }
+
     /// Clears a suspect that completed; a quarantined request stays so for its hour.
     pub fn clear(&mut self, fingerprint: u64) {
         if self.suspicion(fingerprint) == Suspicion::Suspect {
--- a/lib/src/traffic_metrics.rs
+++ b/lib/src/traffic_metrics.rs
@@ -25,6 +25,7 @@
     refused: IntCounterVec,
     moved: IntCounterVec,
     ends: IntCounterVec,
+    crashes: IntCounterVec,
     total: HistogramVec,
     first: HistogramVec,
 }
@@ -57,6 +58,10 @@
                 ),
                 &["service", "end"],
             )?,
+            crashes: IntCounterVec::new(
+                Opts::new("fulmarford_crashes", "Endpoints that ended under requests"),
+                &["service"],
+            )?,
             total: latency(
                 "fulmarford_answer_seconds",
                 "Arrival to the end of an answer",
@@ -71,6 +76,9 @@
             .register(Box::new(metrics.refused.clone()))?;
         metrics.registry.register(Box::new(metrics.moved.clone()))?;
         metrics.registry.register(Box::new(metrics.ends.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.crashes.clone()))?;
         metrics.registry.register(Box::new(metrics.total.clone()))?;
         metrics.registry.register(Box::new(metrics.first.clone()))?;
         Ok(metrics)
@@ -102,6 +110,11 @@
         self.ends.with_label_values(&labels).inc();
     }
 
+    /// Counts an endpoint that ended under requests of this instance.
+    pub fn crashed(&self, service: &ServiceId) {
+        self.crashes.with_label_values(&[service.as_str()]).inc();
+    }
+
     /// Counts a run whose engine left, by where it goes on.
     pub fn moved(&self, place: Place) {
         let place = place.to_string();
--- a/lib/src/upstream.rs
+++ b/lib/src/upstream.rs
@@ -227,6 +227,26 @@
     }
 }
 
+/// What a first contact with an address shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Contact {
+    /// Somebody listens there.
+    Accepted,
+    /// Nobody listens there.
+    Refused,
+    /// Nothing came back in time, or the connection was reset.
+    Unknown,
+}
+
+/// Opens a connection to an endpoint and closes it again.
+pub async fn contact(address: SocketAddr) -> Contact {
+    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Contact::Accepted,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Contact::Refused,
+        Ok(Err(_)) | Err(_) => Contact::Unknown,
+    }
+}
+
 async fn connect(address: SocketAddr) -> Result<Connection, CallError> {
     let unreachable = |e: &dyn std::fmt::Display| CallError::Unreachable(e.to_string());
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
--- a/lib/tests/test_control_thread.rs
+++ b/lib/tests/test_control_thread.rs
@@ -25,6 +25,9 @@
 use fulmarford_lib::control_core::PeerAddress;
 use fulmarford_lib::control_thread::Config;
 use fulmarford_lib::control_thread::ControlThread;
+use fulmarford_lib::crash_note::CrashEvent;
+use fulmarford_lib::crash_note::CrashNote;
+use fulmarford_lib::fingerprint::Fingerprint;
 use fulmarford_lib::peer::Secrets;
 use fulmarford_lib::rules;
 use fulmarford_lib::simple_storage::SimpleStorage;
@@ -540,6 +543,42 @@
     expect_that!(rows(), eq(5));
 }
 
+/// Guards against a request whose crashes were told by two instances, the first one to a leader that is gone.
+#[gtest]
+fn crash_notes_outlive_leader() {
+    let mut cluster = Cluster::start(3, 2);
+    cluster.await_views();
+    let note = |cluster: &Cluster, entry: usize, print: u64| {
+        let note = CrashNote {
+            print: Fingerprint(print),
+            event: CrashEvent::Crash {
+                endpoint: entry as u64,
+            },
+            age: Duration::ZERO,
+        };
+        cluster.control(entry).note(Instant::now(), &[note]);
+    };
+    let quarantined = |cluster: &Cluster, print: u64| {
+        for instance in cluster.running() {
+            wait(|| {
+                let held = cluster.control(instance).suspicion(print);
+                (held == Suspicion::Quarantined).then_some(())
+            });
+        }
+    };
+    note(&cluster, 3, 7);
+    thread::sleep(Duration::from_millis(600));
+    expect_that!(cluster.control(4).suspicion(7), eq(Suspicion::None));
+    note(&cluster, 4, 7);
+    quarantined(&cluster, 7);
+    note(&cluster, 3, 8);
+    thread::sleep(Duration::from_millis(600));
+    let leader = cluster.leader();
+    cluster.threads[leader].take().expect("runs").halt();
+    note(&cluster, 4, 8);
+    quarantined(&cluster, 8);
+}
+
 /// Guards against limits that each instance grants in full, or that no instance grants.
 #[gtest]
 fn admit_shares_limits() {
--- a/lib/tests/test_state.rs
+++ b/lib/tests/test_state.rs
@@ -479,6 +479,23 @@
     expect_that!(f.state.suspects().suspicion(1), eq(Suspicion::None));
 }
 
+/// Guards against a verdict of the leader that later reports or a resend change, and one that cannot be
+/// withdrawn.
+#[gtest]
+fn quarantine_until_acquitted() {
+    let mut f = Fixture::new();
+    let quarantine = Command::Quarantine { fingerprint: 1 };
+    f.run(quarantine.clone());
+    let revision = f.state.suspects().revision();
+    f.run(quarantine);
+    f.run(Command::ClearSuspect { fingerprint: 1 });
+    expect_that!(f.state.suspects().suspicion(1), eq(Suspicion::Quarantined));
+    expect_that!(f.state.suspects().revision(), eq(revision));
+    f.run(Command::Acquit { fingerprint: 1 });
+    expect_that!(f.state.suspects().suspicion(1), eq(Suspicion::None));
+    expect_that!(f.state.suspects().revision(), gt(revision));
+}
+
 /// Guards against an order that is recorded by a process that lost the lease, and against two open
 /// orders for one zone.
 #[gtest]
@@ -564,6 +581,8 @@
             })
         }),
         1 => (0..6_u64).prop_map(|fingerprint| Command::ClearSuspect { fingerprint }),
+        1 => (0..6_u64).prop_map(|fingerprint| Command::Quarantine { fingerprint }),
+        1 => (0..6_u64).prop_map(|fingerprint| Command::Acquit { fingerprint }),
         5 => (1..3_u64, 1..9_u64, 0..5_u64, 0..9_u64).prop_map(|(entry, sequence, w, n)| {
             usage(entry, sequence, START_MS / 1_000 + 45 * w, n)
         }),
