Report crashes and clear suspects past a leader that is cut off

What callers saw: on the own interface, a request that crashed an engine while the leader moved could crash two more, since the first crash was not counted; an innocent one stayed a suspect for an hour.

A crash report and a clearance were not submitted again when the answer of the leader was lost, and the report was given up after 1 s, less than a failover takes.

The state machine counts a report that it gets twice within 10 s once, and a clearance has no second effect, so both may be repeated. A report is tried for 8 s, while the requests of the crash wait for 1 s as before.

--- a/lib/src/control_core.rs
+++ b/lib/src/control_core.rs
@@ -622,6 +622,8 @@
             | Command::ReplaceDocument(_)
             | Command::ReadDocument
             | Command::SetUsageTerms(_)
+            | Command::ReportCrash(_)
+            | Command::ClearSuspect { .. }
             | Command::Quarantine { .. }
             | Command::Acquit { .. }
     )
--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -29,8 +29,13 @@
 /// Time in which an endpoint that has not crashed reports its load.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time allowed for the control state to accept a report.
-const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for which the requests of a crash wait for its report.
+const REPORT_WAIT: Duration = Duration::from_secs(1);
+
+/// Time for which a report is tried: a failover with margin, and less than
+/// [`crate::suspect::SAME_CRASH_MS`], within which the
+/// control state counts a report that it gets twice once.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Gathers broken calls into crash reports.
 #[derive(Clone)]
@@ -55,10 +60,12 @@
         }
     }
 
-    /// Records that a call broke, and waits until the crash has been reported.
+    /// Records that a call broke, and waits until the crash has been reported, or for [`REPORT_WAIT`].
     pub async fn record(&self, endpoint: &EndpointId, fingerprint: u64) {
         let mut reported = self.join(endpoint, fingerprint);
-        let _ = reported.wait_for(|done| *done).await;
+        let done = reported.wait_for(|done| *done);
+        // The report goes on without the request, which another endpoint may still answer in time.
+        let _ = tokio::time::timeout(REPORT_WAIT, done).await;
     }
 
     fn join(&self, endpoint: &EndpointId, fingerprint: u64) -> watch::Receiver<bool> {
--- a/lib/tests/test_control_thread.rs
+++ b/lib/tests/test_control_thread.rs
@@ -495,6 +495,45 @@
     expect_true!(view.workspace("x").is_none());
 }
 
+/// Guards against crash reports and clearances that are lost when the leader is cut off while it holds them.
+#[gtest]
+fn report_crash_past_isolated_leader() {
+    let cluster = Cluster::start(3, 2);
+    cluster.await_views();
+    let report = |control: &ClusterControl, fingerprint: u64| {
+        Command::ReportCrash(CrashReport {
+            endpoint: "e".into(),
+            fingerprints: vec![fingerprint],
+            reporter: control.incarnation().clone(),
+        })
+    };
+    let control = cluster.control(4);
+    expect_that!(
+        control.submit(report(&control, 7), LIMIT),
+        eq(&Ok(Reply::Done))
+    );
+    let leader = cluster.leader();
+    cluster.set_isolated(leader, true);
+    let others = [control, cluster.control(3)];
+    let commands = [
+        Command::ClearSuspect { fingerprint: 7 },
+        report(&others[1], 8),
+    ];
+    let answers: Vec<_> = thread::scope(|scope| {
+        let pairs = others.iter().zip(commands);
+        let calls = pairs.map(|(control, command)| scope.spawn(|| control.submit(command, LIMIT)));
+        let calls: Vec<_> = calls.collect();
+        let answers = calls
+            .into_iter()
+            .map(|call| call.join().expect("an answer"));
+        answers.collect()
+    });
+    expect_that!(answers, each(eq(&Ok(Reply::Done))));
+    // Either command may be applied first, and each is news of its own.
+    wait(|| (others[0].suspicion(8) == Suspicion::Suspect).then_some(()));
+    wait(|| (others[0].suspicion(7) == Suspicion::None).then_some(()));
+}
+
 /// Guards against crash reports that do not reach every instance, and against usage that is lost
 /// or counted twice on its way.
 #[gtest]
