Order engines by what others have there in wide fleets only

Cause, by trials that switch the mechanisms off; why they cost so much is read in the code and not traced: with 8 entries each sees an eighth of the requests, and engines state their load with each answer. What the other entries told is half a second old, and the own part in it is older than the own part that is subtracted, so a burst that is over still drove short requests from the engines that held their prompts; the random spread of 10 ms hid the order of zones and of short prompt parts.

choose_by_own_knowledge_unless_wide fails if small fleets choose as wide ones do: the request leaves the engine that holds its prompt.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -5,7 +5,8 @@
 //! * A burst of long prompts: prompts that an engine has still to read delay everybody on it, so the
 //!   unread tokens sent there count as waiting time, and short requests pass to other engines.
 //! * Many instances, each of which sees few of the requests at an engine: what the others have there counts
-//!   like the own requests, so that no engine is crowded while others are free.
+//!   like the own requests, so that no engine is crowded while others are free. Few instances see enough
+//!   themselves, and what they are told is older than what engines state in answers.
 //! * Sessions that share a prompt: an engine that read the shared part answers sooner, as long as
 //!   its queue is short; an unknown part is given a home by rendezvous hashing, on which all
 //!   instances agree without a message.
@@ -115,6 +116,16 @@
 /// endpoint among equal ones; the differences that this hides are below the steps of an engine.
 const SPREAD_DELAY: f64 = 10.0;
 
+/// Instances from which one sees so few of the requests at an engine that what the others have there orders
+/// engines, and that equal choices are spread; those of fewer see a tenth and more, and the order that
+/// their own knowledge gives is worth more (`docs/measurements.md`).
+const WIDE_FLEET: u32 = 33;
+
+/// Tells whether a fleet of so many instances is a wide one; 0 stands for an unknown number.
+pub fn is_wide(entries: u32) -> bool {
+    entries >= WIDE_FLEET
+}
+
 /// A request that asks for an endpoint.
 #[derive(Clone, Debug)]
 pub struct Want<'a> {
@@ -134,8 +145,10 @@
     pub urgency: u8,
     /// A random number below 1, by which it is among the requests that are turned away.
     pub draw: f64,
-    /// A random number that orders endpoints which are equally good.
+    /// A random number that orders endpoints which are equally good, in a wide fleet.
     pub spread: u64,
+    /// Whether the fleet is wide ([`is_wide`]).
+    pub is_wide: bool,
 }
 
 /// Where a request goes.
@@ -334,12 +347,15 @@
             if copied > 0 {
                 score += f64::from(copied) / holders.rate * COPY_WEIGHT;
             }
-            let draw = affinity::mix(want.spread, endpoint.hash) as f64 / u64::MAX as f64;
-            score += draw * SPREAD_DELAY;
             if !suits(endpoint) {
                 score += if is_long { KEPT_DELAY } else { READER_DELAY };
             }
-            let place = score + endpoint.crowding(now, rate);
+            let mut place = score;
+            if want.is_wide {
+                let draw = affinity::mix(want.spread, endpoint.hash) as f64 / u64::MAX as f64;
+                score += draw * SPREAD_DELAY;
+                place = score + endpoint.crowding(now, rate);
+            }
             if best.is_none_or(|(least, ..)| place < least) {
                 let source = source.map(|source| source.address);
                 best = Some((place, score, endpoint, unread, source));
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -20,6 +20,7 @@
 use crate::dialect::Onward;
 use crate::dialect::RunCopy;
 use crate::fingerprint::Fingerprint;
+use crate::fleet;
 use crate::fleet::CallEnd;
 use crate::fleet::Choice;
 use crate::fleet::NoChoice;
@@ -310,6 +311,7 @@
                 _ => 1.0,
             },
             spread: rand::rng().random(),
+            is_wide: fleet::is_wide(control.entries()),
         };
         let choice = match fleet.choose(now, &want) {
             Err(NoChoice::Nowhere | NoChoice::Paused { .. }) if !self.excluded.is_empty() => {
--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -16,7 +16,9 @@
 use tokio::time::timeout_at;
 
 use crate::code::ResultCode;
+use crate::control::Control as _;
 use crate::event_cutter::EventCutter;
+use crate::fleet;
 use crate::fleet::CallEnd;
 use crate::fleet::Want;
 use crate::forward_job::Failure;
@@ -212,6 +214,7 @@
             urgency: self.rank,
             draw: 1.0,
             spread: rand::rng().random(),
+            is_wide: fleet::is_wide(forwarder.settings.control.entries()),
         };
         let flight = {
             let mut fleet = forwarder.fleet();
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -15,6 +15,7 @@
 use fulmarford_lib::fleet::Fleet;
 use fulmarford_lib::fleet::NoChoice;
 use fulmarford_lib::fleet::Want;
+use fulmarford_lib::fleet::is_wide;
 use fulmarford_lib::ids::EndpointId;
 use fulmarford_lib::ids::ServiceId;
 use fulmarford_lib::route_table::EngineKind;
@@ -54,6 +55,7 @@
     service: ServiceId,
     now: Instant,
     total: Work,
+    is_wide: bool,
 }
 
 impl Fixture {
@@ -66,6 +68,7 @@
             service: "llm".into(),
             now,
             total: Work::default(),
+            is_wide: false,
         }
     }
 
@@ -95,6 +98,7 @@
             urgency: 2,
             draw: 0.0,
             spread: 0,
+            is_wide: self.is_wide,
         }
     }
 
@@ -144,6 +148,7 @@
 #[gtest]
 fn choose_past_requests_of_others() {
     let mut f = Fixture::new(&["a", "b"]);
+    f.is_wide = true;
     let first = f.place(500);
     let busy = AtEngine {
         calls: 20,
@@ -169,6 +174,38 @@
     f.fleet.end(f.now, ticket, CallEnd::Served);
 }
 
+/// Few instances, each of which sees much itself: a burst that others told half a second ago is over at an engine
+/// that answers at once, and does not drive a short request from the engine that holds its prompt.
+#[gtest]
+fn choose_by_own_knowledge_unless_wide() {
+    let mut f = Fixture::new(&["a", "b"]);
+    let parts = [
+        PromptPart { id: 1, tokens: 500 },
+        PromptPart { id: 2, tokens: 10 },
+    ];
+    let first = f.ask(510, &parts, &[]).expect("an endpoint");
+    let ticket = f.fleet.start(f.now, &first, &parts);
+    f.fleet.end(f.now, ticket, CallEnd::Served);
+    let burst = AtEngine {
+        calls: 60,
+        unread: 60_000,
+    };
+    let sum = Told {
+        engines: [(affinity::hash_name(name(&first)), burst)].into(),
+        ..Told::default()
+    };
+    f.fleet.hear(f.now, &Arc::new(sum));
+    for (is_wide, stays) in [(false, true), (true, false)] {
+        f.is_wide = is_wide;
+        let next = f.ask(510, &parts, &[]).expect("an endpoint");
+        expect_that!(name(&next) == name(&first), eq(stays), "wide: {is_wide}");
+    }
+    expect_that!(
+        [0, 8, 32, 33, 1_270].map(is_wide),
+        eq([false, false, false, true, true])
+    );
+}
+
 /// An engine says that it leaves while the list still calls it ready: nothing more goes there, also when
 /// the list is read again, until the list shows that it came back under its name.
 #[gtest]
