--- a/lib/src/crash_book.rs
+++ b/lib/src/crash_book.rs
@@ -44,7 +44,7 @@
 /// come back and to get the same request again.
 pub const SAME_END: Duration = Duration::from_secs(2);
 
-/// Requests that a book holds at most, at about 100 bytes each: four times the places of 500 engines.
+/// Requests that a book holds at most, at about 100 bytes each: twice the places of 500 engines.
 pub const MAX_PRINTS: usize = 65_536;
 
 /// Part of a full book that is dropped at a time.
--- a/lib/src/crash_note.rs
+++ b/lib/src/crash_note.rs
@@ -24,8 +24,8 @@
 /// Notes in a message at most; each takes about 25 bytes.
 pub const MAX_TOLD: usize = 256;
 
-/// Notes that an instance keeps at most, the newest ones; a relay keeps those of the instances below it,
-/// which is a quarter of the places of 500 engines.
+/// Notes that an instance keeps at most, the newest ones. A relay keeps those of the instances below it,
+/// an eighth of a fleet: a quarter of the 64 places of each of 500 engines.
 const MAX_KEPT: usize = 8_192;
 
 /// What happened to a request.
--- a/lib/src/culprits.rs
+++ b/lib/src/culprits.rs
@@ -36,7 +36,7 @@
 
 /// Whether a request may be sent to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Leave {
+pub enum Permit {
     /// It may.
     Granted,
     /// It may not; the others are to be told of an answer that clears it.
@@ -84,17 +84,17 @@
     }
 
     /// Tells whether a request may be sent to an endpoint; `known` is what the leader decided.
-    pub fn leave(&self, now: Instant, print: Fingerprint, known: Suspicion) -> Leave {
+    pub fn permit(&self, now: Instant, print: Fingerprint, known: Suspicion) -> Permit {
         if self.book.ends(now, print) >= CONVICTING {
-            return Leave::Withheld(None);
+            return Permit::Withheld(None);
         }
         if known != Suspicion::Quarantined {
-            return Leave::Granted;
+            return Permit::Granted;
         }
         let answered = self.answers.get(&print);
         let age = answered.map(|at| now.saturating_duration_since(*at));
         let recent = age.filter(|age| *age < ANSWER_LIFE);
-        Leave::Withheld(recent.map(|age| answer(print, age)))
+        Permit::Withheld(recent.map(|age| answer(print, age)))
     }
 
     fn remember(&mut self, now: Instant, print: Fingerprint) {
--- a/lib/src/forward_crash.rs
+++ b/lib/src/forward_crash.rs
@@ -9,7 +9,7 @@
 use crate::control::Control;
 use crate::crash_note::CrashNote;
 use crate::crash_watch::AfterBreak;
-use crate::culprits::Leave;
+use crate::culprits::Permit;
 use crate::dialect::ListedEndpoint;
 use crate::fingerprint::Fingerprint;
 use crate::fleet::CallEnd;
@@ -42,9 +42,9 @@
     pub(crate) fn is_withheld(&self, print: Fingerprint) -> bool {
         let now = self.settings.clock.now();
         let known = self.settings.control.suspicion(print.0);
-        match self.culprits().leave(now, print, known) {
-            Leave::Granted => false,
-            Leave::Withheld(answer) => {
+        match self.culprits().permit(now, print, known) {
+            Permit::Granted => false,
+            Permit::Withheld(answer) => {
                 self.tell(answer.as_slice());
                 true
             }
--- a/lib/tests/test_culprits.rs
+++ b/lib/tests/test_culprits.rs
@@ -10,7 +10,7 @@
 use fulmarford_lib::crash_watch::EVIDENCE_TIME;
 use fulmarford_lib::culprits::ANSWER_LIFE;
 use fulmarford_lib::culprits::Culprits;
-use fulmarford_lib::culprits::Leave;
+use fulmarford_lib::culprits::Permit;
 use fulmarford_lib::fingerprint::Fingerprint;
 use googletest::prelude::*;
 
@@ -50,14 +50,14 @@
 
 /// Guards against a culprit that an instance without contact to the others sends on.
 #[gtest]
-fn leave_own_notes() {
+fn permit_own_notes() {
     let mut now = Instant::now();
     let mut culprits = Culprits::default();
     for endpoint in ["a", "b", "c"] {
         now += 100 * MS;
         expect_that!(
-            culprits.leave(now, CULPRIT, Suspicion::None),
-            eq(Leave::Granted)
+            culprits.permit(now, CULPRIT, Suspicion::None),
+            eq(Permit::Granted)
         );
         for print in [CULPRIT, OTHER] {
             culprits.broke(now, &endpoint.into(), print);
@@ -67,31 +67,31 @@
         let note = culprits.answered(now + MS, OTHER);
         expect_that!(note.map(|note| note.event), some(eq(CrashEvent::Answer)));
     }
-    let withheld = Leave::Withheld(None);
-    expect_that!(culprits.leave(now, CULPRIT, Suspicion::None), eq(withheld));
+    let withheld = Permit::Withheld(None);
+    expect_that!(culprits.permit(now, CULPRIT, Suspicion::None), eq(withheld));
     expect_that!(
-        culprits.leave(now, OTHER, Suspicion::None),
-        eq(Leave::Granted)
+        culprits.permit(now, OTHER, Suspicion::None),
+        eq(Permit::Granted)
     );
 }
 
 /// Guards against a popular request that stays withheld although this instance has its answers, and against
 /// chatter about requests under which nothing ended.
 #[gtest]
-fn leave_answered_lately() {
+fn permit_answered_lately() {
     let now = Instant::now();
     let mut culprits = Culprits::default();
     expect_that!(culprits.answered(now, OTHER), none());
     let later = now + 300 * MS;
-    let leave = culprits.leave(later, OTHER, Suspicion::Quarantined);
-    let Leave::Withheld(Some(note)) = leave else {
-        panic!("no answer is told: {leave:?}");
+    let permit = culprits.permit(later, OTHER, Suspicion::Quarantined);
+    let Permit::Withheld(Some(note)) = permit else {
+        panic!("no answer is told: {permit:?}");
     };
     expect_that!(note.age, eq(300 * MS));
-    let leave = culprits.leave(now + ANSWER_LIFE, OTHER, Suspicion::Quarantined);
-    expect_that!(leave, eq(Leave::Withheld(None)));
+    let permit = culprits.permit(now + ANSWER_LIFE, OTHER, Suspicion::Quarantined);
+    expect_that!(permit, eq(Permit::Withheld(None)));
     expect_that!(
-        culprits.leave(now, OTHER, Suspicion::Suspect),
-        eq(Leave::Granted)
+        culprits.permit(now, OTHER, Suspicion::Suspect),
+        eq(Permit::Granted)
     );
 }
