--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -124,6 +124,48 @@
     pub slots: u32,
 }
 
+/// A number of requests per second, in thousandths.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RequestRate(u32);
+
+impl RequestRate {
+    /// Returns the rate of this many requests per second, or `None` if it is no number or negative.
+    ///
+    /// Rates beyond the range of the type become its largest value, which no endpoint reaches.
+    pub fn from_per_second(per_second: f64) -> Option<Self> {
+        let is_valid = per_second >= 0.0;
+        // The conversion saturates.
+        is_valid.then(|| Self((per_second * 1_000.0).round() as u32))
+    }
+
+    /// Returns the rate in requests per second.
+    pub fn per_second(self) -> f64 {
+        f64::from(self.0) / 1_000.0
+    }
+}
+
+/// What a response head states about the requests that the endpoint accepts from all instances.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StatedLimit {
+    /// The endpoint states no limit.
+    #[default]
+    Absent,
+    /// The endpoint states a limit that cannot be parsed.
+    Unreadable,
+    /// The endpoint accepts this rate, from all instances together.
+    Rate(RequestRate),
+}
+
+impl StatedLimit {
+    /// Returns the stated rate.
+    pub fn rate(self) -> Option<RequestRate> {
+        match self {
+            Self::Rate(rate) => Some(rate),
+            Self::Absent | Self::Unreadable => None,
+        }
+    }
+}
+
 /// The properties that an endpoint's response head states.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ResponseInfo {
@@ -139,6 +181,8 @@
     pub leaving: bool,
     /// Time for which an endpoint that refused a request wants no further ones.
     pub pause: Option<Duration>,
+    /// The rate of requests that the endpoint accepts from all instances.
+    pub limit: StatedLimit,
 }
 
 /// An endpoint on the platform's list.
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -19,6 +19,7 @@
 use crate::control::Control;
 use crate::dialect::ForwardContext;
 use crate::dialect::RequestInfo;
+use crate::dialect::RequestRate;
 use crate::dialect::RunCopy;
 use crate::fingerprint::Fingerprint;
 use crate::fleet;
@@ -176,6 +177,8 @@
     pub choice: Choice,
     /// Time at which the call was started.
     sent: Instant,
+    /// The limit that the endpoint stated in its response.
+    stated_limit: Option<RequestRate>,
     /// Whether the end of the call was recorded.
     ended: bool,
 }
@@ -194,6 +197,7 @@
             call_id,
             choice,
             sent: forwarder.settings.clock.now(),
+            stated_limit: None,
             ended: false,
         }
     }
@@ -488,6 +492,7 @@
             took_ms = took.as_millis() as u64,
             waited_ms = self.now().saturating_duration_since(self.arrived).as_millis() as u64,
             list_age_ms = guard.choice.list_age.as_millis() as u64,
+            limit = guard.stated_limit.map(RequestRate::per_second),
             outcome = outcome.map_or("started", CallOutcome::name),
             "attempt"
         );
@@ -558,6 +563,10 @@
         };
         let response_info = dialect.response_info(answer.status, &answer.headers);
         let is_success = (200..300).contains(&answer.status);
+        guard.stated_limit = response_info.limit.rate();
+        if guard.stated_limit.is_some() {
+            self.forwarder.settings.metrics.limited(&self.service);
+        }
         let first = match answer.next().await {
             Ok(first) => first,
             Err(error) => {
@@ -703,6 +712,7 @@
             call_id: self.call_id,
             choice: self.choice.clone(),
             sent: self.sent,
+            stated_limit: self.stated_limit,
             ended,
         }
     }
--- a/lib/src/traffic_metrics.rs
+++ b/lib/src/traffic_metrics.rs
@@ -28,6 +28,7 @@
     moved: IntCounterVec,
     ends: IntCounterVec,
     crashes: IntCounterVec,
+    limited: IntCounterVec,
     total: HistogramVec,
     first: HistogramVec,
 }
@@ -64,6 +65,13 @@
                 Opts::new("fulmarford_crashes", "Endpoints that ended under requests"),
                 &["service"],
             )?,
+            limited: IntCounterVec::new(
+                Opts::new(
+                    "fulmarford_limited_answers",
+                    "Answers in which endpoints named a limit",
+                ),
+                &["service"],
+            )?,
             total: latency(
                 "fulmarford_answer_seconds",
                 "Arrival to the end of an answer",
@@ -81,6 +89,9 @@
         metrics
             .registry
             .register(Box::new(metrics.crashes.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.limited.clone()))?;
         metrics.registry.register(Box::new(metrics.total.clone()))?;
         metrics.registry.register(Box::new(metrics.first.clone()))?;
         Ok(metrics)
@@ -117,6 +128,11 @@
         self.crashes.with_label_values(&[service.as_str()]).inc();
     }
 
+    /// Counts a response in which an endpoint stated a limit.
+    pub fn limited(&self, service: &ServiceId) {
+        self.limited.with_label_values(&[service.as_str()]).inc();
+    }
+
     /// Counts a run whose engine shut down, by what became of the run.
     pub fn moved(&self, outcome: MoveOutcome) {
         let outcome = outcome.to_string();
