Keep the limits that endpoints state over all instances

Cause: no instance read the limit, so engines in need were chosen by load like the others. Each entry that read it alone would not help, since the limit is one for all. The class is a bound over all instances that nobody keeps.

In the reproduction engines that named 0.5, 1 and 5 a second got up to 145, 139 and 52 requests in 4 s.

Why it works: a permit is for one request and expires 1.5 s after it was made, wherever it is, so the number sent in any 4 s is at most what the bucket makes in 5.5 s: 5.75 times the rate and one, below the allowed 6 times and five. It doesn't depend on the number of instances.

--- a/lib/src/cluster_control.rs
+++ b/lib/src/cluster_control.rs
@@ -3,6 +3,7 @@
 //! The view is read from shared memory; commands are sent to the control thread.
 
 use std::sync::Arc;
+use std::sync::MutexGuard;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -25,6 +26,8 @@
 use crate::control_shared::Shared;
 use crate::control_shared::Status;
 use crate::crash_note::CrashNote;
+use crate::endpoint_limit::LimitObservation;
+use crate::endpoint_limit::LimitTable;
 use crate::ids::WorkspaceId;
 use crate::prefix_hint::PrefixHint;
 use crate::rule_state::CommittedChange;
@@ -148,6 +151,22 @@
         self.shared.add_crash_notes(now, notes);
     }
 
+    /// Locks the limits of endpoints.
+    pub fn endpoint_limits(&self) -> MutexGuard<'_, LimitTable> {
+        let limits = &self.shared.endpoint_limits;
+        limits.lock().expect("limits lock poisoned")
+    }
+
+    /// Records what an endpoint's response stated about its limit, and tells the other instances if the limit
+    /// changed; returns whether it did.
+    pub fn observe_limit(&self, endpoint: u64, observation: LimitObservation) -> bool {
+        let is_changed = self.endpoint_limits().observe(endpoint, observation);
+        if is_changed {
+            self.shared.limits_changed.notify_one();
+        }
+        is_changed
+    }
+
     /// Returns the sightings received from other instances since the last call.
     pub fn take_sightings(&self) -> Vec<PrefixHint> {
         self.shared.received_sightings.take()
--- a/lib/src/control_answer.rs
+++ b/lib/src/control_answer.rs
@@ -58,6 +58,7 @@
         } else {
             self.collect_from_poller(&request);
         }
+        self.collect_limits(&request);
         let sightings = std::mem::take(&mut request.sightings);
         let poller = &request.poll.poller.instance;
         self.sightings.borrow_mut().add(poller, sightings);
@@ -159,7 +160,13 @@
             .shared
             .endpoint_list
             .has_delta(now, request.list_revision);
-        if !is_due && !is_awaited && !suspects_changed && !list_changed && !publisher.has_news(poll)
+        let limits_changed = self.endpoint_limits().revision() != request.limits_revision;
+        if !is_due
+            && !is_awaited
+            && !suspects_changed
+            && !list_changed
+            && !limits_changed
+            && !publisher.has_news(poll)
         {
             return Ok(None);
         }
@@ -169,6 +176,8 @@
         }
         let update = publisher.answer(now, poll, age).map_err(|_| CannotAnswer)?;
         let chunks = self.grant_quota(publisher, now, age, &poll.poller.instance, &request.demand);
+        let leader = Some((publisher.epoch(), age));
+        let (permits, limits_revision) = self.answer_limits(now, leader, request);
         let instance_count = self.count_instances(publisher, now);
         let mut work_sum = self.work_sum.borrow_mut();
         work_sum.set(now, &poll.poller.instance, request.work.clone());
@@ -190,6 +199,8 @@
             work,
             list_delta: self.shared.endpoint_list.delta(now, request.list_revision),
             sightings: self.sightings.borrow_mut().unseen(&poll.poller.instance),
+            permits,
+            limits_revision,
         }))))
     }
 
@@ -234,8 +245,12 @@
         };
         let chunks = self.grant_quota(publisher, now, age, &self.incarnation.instance, &demand);
         self.shared.shares.receive(now, &chunks);
-        self.shared
-            .set_instance_count(self.count_instances(publisher, now));
+        let instance_count = self.count_instances(publisher, now);
+        self.shared.set_instance_count(instance_count);
+        if age < MAX_QUORUM_AGE {
+            let term = publisher.epoch();
+            self.endpoint_limits().grant_own(now, term, instance_count);
+        }
     }
 
     /// Answers a request that only the leader can handle.
--- a/lib/src/control_core.rs
+++ b/lib/src/control_core.rs
@@ -170,6 +170,8 @@
     pub(crate) work_sum: RefCell<LoadAggregator>,
     /// Prompt parts that the instances polling this one have sent to engines.
     pub(crate) sightings: RefCell<PrefixHintLog>,
+    /// Revision of the limits of endpoints that the last upstream answered with.
+    pub(crate) limits_revision: Cell<u64>,
     /// Crash notes of all instances, from which the leader derives verdicts.
     pub(crate) crash_records: RefCell<CrashRecords>,
     /// Leadership, view version, settled version, revision of the suspects and revision of the
@@ -219,6 +221,7 @@
             quota_pools: RefCell::default(),
             work_sum: RefCell::default(),
             sightings: RefCell::default(),
+            limits_revision: Cell::new(0),
             crash_records: RefCell::default(),
             last_published: Cell::default(),
         })
--- a/lib/src/control_poll.rs
+++ b/lib/src/control_poll.rs
@@ -112,6 +112,7 @@
         address,
         epoch: core.subscriber.borrow().epoch(),
     };
+    let limits = core.endpoint_limits().report(sent);
     let (crash_notes, next_note) = core.crash_notes().due(sent, upstream);
     let request = encode(&PollRequest {
         poll: {
@@ -131,6 +132,8 @@
             None => core.shared.endpoint_list.copy_revision(),
         },
         crash_notes,
+        limits,
+        limits_revision: core.limits_revision.get(),
     });
     let answer = tokio::select! {
         answer = link.poll(&request, POLL_TIMEOUT) => answer,
@@ -138,6 +141,7 @@
         () = core.poll_requested.notified(), if awaited_version.is_none() => return true,
         () = core.downstream_advanced.notified() => return true,
         () = core.shared.crash_notes_added.notified() => return true,
+        () = core.shared.limits_changed.notified() => return true,
     };
     match answer.ok().as_deref().and_then(decode) {
         Some(PollResponse::Update(update)) => {
@@ -176,6 +180,8 @@
     core.shared.shares.receive(sent, &update.chunks);
     core.shared.set_instance_count(update.instance_count);
     core.learn_members(&update.members);
+    core.install_limits(sent, update.instance_count, &update.permits);
+    core.limits_revision.set(update.limits_revision);
     core.shared.set_total_work(update.work);
     let list_revision = core.shared.endpoint_list.revision();
     if core.can_relay() {
--- a/lib/src/control_relay.rs
+++ b/lib/src/control_relay.rs
@@ -180,12 +180,14 @@
             .shared
             .endpoint_list
             .has_delta(now, request.list_revision);
+        let limits_changed = self.endpoint_limits().revision() != request.limits_revision;
         let mut outcomes = request.usage.iter().map(|report| relay.report(report));
         let usage = outcomes.next().flatten();
         if !is_due
             && !is_awaited
             && !suspects_changed
             && !list_changed
+            && !limits_changed
             && !relay.publisher.has_news(poll)
         {
             return Ok(None);
@@ -196,6 +198,7 @@
         let voter = self.voter.borrow();
         let members = voter.iter().flat_map(|voter| voter.raft().members().iter());
         let members = members.map(|(_, member)| member.address.clone()).collect();
+        let (permits, limits_revision) = self.answer_limits(now, None, request);
         let suspects = self.shared.suspects.read().expect("suspects lock poisoned");
         let work = self.shared.total_work.read().expect("work lock poisoned");
         Ok(Some(PollResponse::Update(Box::new(PollUpdate {
@@ -210,6 +213,8 @@
             work: work.as_ref().clone(),
             list_delta: self.shared.endpoint_list.delta(now, request.list_revision),
             sightings: self.sightings.borrow_mut().unseen(poller),
+            permits,
+            limits_revision,
         }))))
     }
 
--- a/lib/src/control_shared.rs
+++ b/lib/src/control_shared.rs
@@ -29,6 +29,7 @@
 use crate::control::Suspicion;
 use crate::crash_note::CrashNote;
 use crate::crash_note::NoteOutbox;
+use crate::endpoint_limit::LimitTable;
 use crate::lease::CLOCK_JUMP;
 use crate::lease::Leases;
 use crate::prefix_hint::PrefixHintBuffer;
@@ -97,6 +98,10 @@
     pub crash_notes: Mutex<NoteOutbox>,
     /// Wakes the pending poll so that it sends new crash notes.
     pub crash_notes_added: Notify,
+    /// Limits of endpoints, and permits to send requests to them.
+    pub endpoint_limits: Mutex<LimitTable>,
+    /// Wakes the pending poll so that it sends changed limits.
+    pub limits_changed: Notify,
     /// Number of instances that serve callers; 0 if unknown.
     instance_count: AtomicU32,
     /// Requests to the control thread.
@@ -122,6 +127,8 @@
             received_sightings: PrefixHintBuffer::default(),
             crash_notes: Mutex::default(),
             crash_notes_added: Notify::new(),
+            endpoint_limits: Mutex::new(LimitTable::new(Instant::now(), rand::random())),
+            limits_changed: Notify::new(),
             instance_count: AtomicU32::new(0),
             queue,
             wake: Notify::new(),
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -138,6 +138,11 @@
         is_valid.then(|| Self((per_second * 1_000.0).round() as u32))
     }
 
+    /// Adds two rates; the sum is at most the largest value of the type.
+    pub fn saturating_add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+
     /// Returns the rate in requests per second.
     pub fn per_second(self) -> f64 {
         f64::from(self.0) / 1_000.0
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -17,6 +17,9 @@
 //!   without pause complete no stream.
 //! * Load beyond capacity: long requests yield while more urgent requests are being rejected, so
 //!   that no class is rejected in favour of a less urgent one.
+//! * Endpoints that limit the requests of all instances: a request goes there only with a permit
+//!   ([`crate::endpoint_limit`]), and otherwise to the best of the others. If all endpoints have limits, a
+//!   request yields its permit to more urgent ones that were rejected.
 //! * Endpoints that shut down or have no free capacity for a time: what their responses say applies
 //!   immediately, before the endpoint list reflects it, and requests go to the other endpoints.
 //! * Endpoints that fail, refuse requests or do not respond: recent failures and unanswered calls
@@ -34,7 +37,10 @@
 use crate::affinity;
 use crate::dialect::ListedEndpoint;
 use crate::dialect::PromptPart;
+use crate::dialect::RequestRate;
 use crate::dialect::ResponseInfo;
+use crate::endpoint_limit::Admission;
+use crate::endpoint_limit::LimitTable;
 use crate::fleet_endpoint::Endpoint;
 use crate::fleet_endpoint::LocalCall;
 use crate::ids::EndpointId;
@@ -89,6 +95,10 @@
 /// Time for which long requests yield after a more urgent request was rejected.
 const YIELD_TIME: Duration = Duration::from_secs(1);
 
+/// Fraction of the permits for limited endpoints that a request may still use after a more urgent one was
+/// rejected, so that no class is without service.
+const YIELDED_PERMIT_SHARE: f64 = 0.2;
+
 /// Weight of the time to recompute a shared part, in addition to its prefill time: it costs the
 /// other requests on the engine as much.
 const RECOMPUTE_WEIGHT: f64 = 2.0;
@@ -176,6 +186,8 @@
     pub expected: Duration,
     /// Age of the endpoint list at the time of the choice.
     pub list_age: Duration,
+    /// Hash of a better endpoint whose limit did not allow the request; one of them if there are several.
+    pub passed_over: Option<u64>,
 }
 
 /// The reason why no endpoint was chosen.
@@ -188,6 +200,13 @@
         /// Time until the first of them accepts requests again.
         wait: Duration,
     },
+    /// Every endpoint that accepts requests limits them, and this instance holds no permit.
+    Limited {
+        /// Hash of one of the endpoints whose limits did not allow the request.
+        passed_over: Option<u64>,
+        /// Sum of the limits.
+        rate: RequestRate,
+    },
     /// No endpoint is expected to respond in time.
     Late {
         /// Expected time to the first byte at the best endpoint.
@@ -225,6 +244,8 @@
     last_report: EngineBacklogs,
     /// The latest total over all instances.
     last_cluster_load: Option<Arc<LoadSummary>>,
+    /// Whether any endpoint has a limit.
+    has_limits: bool,
     last_call_id: u64,
 }
 
@@ -260,6 +281,7 @@
             prefix_hints: Vec::new(),
             last_report: EngineBacklogs::new(),
             last_cluster_load: None,
+            has_limits: false,
             last_call_id: 0,
         }
     }
@@ -318,6 +340,18 @@
         self.list_time = Some(read_at);
     }
 
+    /// Applies the limits and permits to the endpoints.
+    pub fn apply_limits(&mut self, now: Instant, limits: &LimitTable) {
+        let has_limits = !limits.is_empty();
+        if !has_limits && !self.has_limits {
+            return;
+        }
+        self.has_limits = has_limits;
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.admission = limits.admission(now, endpoint.hash);
+        }
+    }
+
     fn service_endpoints(&self, service: &ServiceId) -> impl Iterator<Item = &Endpoint> + Clone {
         let ids = self.services.get(service).into_iter().flatten();
         ids.filter_map(|id| self.endpoints.get(id))
@@ -353,7 +387,10 @@
             self.service_endpoints(query.service),
             is_preferred,
         );
+        let yields_permit = self.yields_permit(now, query);
         let mut best: Option<(f64, f64, &Endpoint, u32, Option<SocketAddr>)> = None;
+        // Ranks of the endpoints for which only a permit is missing.
+        let mut blocked: Vec<(f64, u64)> = Vec::new();
         for endpoint in self
             .service_endpoints(query.service)
             .filter(|e| e.is_usable(now))
@@ -390,13 +427,29 @@
                 score += draw * MAX_JITTER_MS;
                 rank = score + endpoint.remote_load_penalty(now, rate);
             }
-            if best.is_none_or(|(best_rank, ..)| rank < best_rank) {
+            let is_available = match endpoint.admission {
+                Admission::Unlimited => true,
+                Admission::Permitted(_) => !yields_permit,
+                Admission::Blocked(_) => {
+                    blocked.push((rank, endpoint.hash));
+                    false
+                }
+            };
+            if is_available && best.is_none_or(|(best_rank, ..)| rank < best_rank) {
                 let source = source.map(|source| source.address);
                 best = Some((rank, score, endpoint, prefill_tokens, source));
             }
         }
-        let (_, score, endpoint, prefill_tokens, source) =
-            best.ok_or_else(|| self.selection_error(now, query))?;
+        let best_rank = best.map_or(f64::INFINITY, |(rank, ..)| rank);
+        blocked.retain(|(rank, _)| *rank < best_rank);
+        // One of them at random, so that the demand for permits is spread and equals the demand of callers.
+        let passed_over = blocked
+            .iter()
+            .map(|(_, hash)| *hash)
+            .min_by_key(|hash| affinity::mix(query.tie_breaker, *hash));
+        let Some((_, score, endpoint, prefill_tokens, source)) = best else {
+            return Err(self.selection_error(now, query, passed_over));
+        };
         let expected = Duration::from_secs_f64(score / 1_000.0);
         if expected > query.time_left && !endpoint.is_uncertain(now) {
             return Err(SelectionError::Late { expected });
@@ -411,11 +464,40 @@
             list_age: self
                 .list_time
                 .map_or(Duration::ZERO, |at| now.saturating_duration_since(at)),
+            passed_over,
         })
     }
 
+    /// Returns whether a request leaves the permits of this instance to more urgent ones.
+    ///
+    /// A retry, for which `draw` is 1, does not, because it was admitted before.
+    fn yields_permit(&self, now: Instant, query: &EndpointQuery<'_>) -> bool {
+        let is_drawn = (YIELDED_PERMIT_SHARE..1.0).contains(&query.draw);
+        self.has_limits && is_drawn && self.is_outranked(now, query)
+    }
+
+    /// Returns the sum of the limits of the service's endpoints, or `None` if none of them has a limit.
+    fn total_limit(&self, now: Instant, service: &ServiceId) -> Option<RequestRate> {
+        let usable = self
+            .service_endpoints(service)
+            .filter(|endpoint| endpoint.is_usable(now));
+        let limits = usable.filter_map(|endpoint| match endpoint.admission {
+            Admission::Permitted(rate) | Admission::Blocked(rate) => Some(rate),
+            Admission::Unlimited => None,
+        });
+        limits.reduce(RequestRate::saturating_add)
+    }
+
     /// Returns the reason why no endpoint accepts the request.
-    fn selection_error(&self, now: Instant, query: &EndpointQuery<'_>) -> SelectionError {
+    fn selection_error(
+        &self,
+        now: Instant,
+        query: &EndpointQuery<'_>,
+        passed_over: Option<u64>,
+    ) -> SelectionError {
+        if let Some(rate) = self.total_limit(now, query.service) {
+            return SelectionError::Limited { passed_over, rate };
+        }
         let resume_times = self
             .service_endpoints(query.service)
             .filter_map(Endpoint::resume_time);
@@ -446,12 +528,16 @@
         if query.prompt < LONG_PROMPT_TOKENS || query.urgency == 0 || query.total.long <= 0.0 {
             return 0.0;
         }
-        let usable = self
+        let unlimited = self
             .service_endpoints(query.service)
-            .filter(|e| e.is_usable(now));
-        let (count, slots) = usable.fold((0.0, 0.0), |(count, slots), e| {
+            .filter(|e| e.is_unlimited(now));
+        let (count, slots) = unlimited.fold((0.0, 0.0), |(count, slots), e| {
             (count + 1.0, slots + f64::from(e.listed.slots))
         });
+        if count == 0.0 && self.total_limit(now, query.service).is_some() {
+            // Permits decide which requests are sent.
+            return 0.0;
+        }
         // No request is shed while the engines' batches have free slots.
         if query.total.calls < slots * BUSY_SLOT_FRACTION {
             return 0.0;
@@ -472,11 +558,15 @@
 
     /// Returns whether a long request yields to more urgent ones that were rejected.
     fn should_yield(&self, now: Instant, query: &EndpointQuery<'_>) -> bool {
+        query.prompt >= LONG_PROMPT_TOKENS && self.is_outranked(now, query)
+    }
+
+    /// Returns whether a more urgent request was rejected recently.
+    fn is_outranked(&self, now: Instant, query: &EndpointQuery<'_>) -> bool {
         let rejected = self.rejected_urgency.get(query.service);
-        let is_long = query.prompt >= LONG_PROMPT_TOKENS;
         rejected.is_some_and(|(at, urgency)| {
             let is_recent = now.saturating_duration_since(*at) < YIELD_TIME;
-            is_long && is_recent && query.urgency > *urgency
+            is_recent && query.urgency > *urgency
         })
     }
 
@@ -494,7 +584,7 @@
     ) -> Vec<u64> {
         let mut usable: Vec<_> = self
             .service_endpoints(query.service)
-            .filter(|e| e.is_usable(now))
+            .filter(|e| e.is_unlimited(now))
             .map(|e| (!e.listed.reclaimable, e.hash))
             .collect();
         if usable.len() < 2 || query.total.long <= 0.0 || query.total.short <= 0.0 {
--- a/lib/src/fleet_endpoint.rs
+++ b/lib/src/fleet_endpoint.rs
@@ -7,6 +7,7 @@
 use crate::affinity;
 use crate::dialect::ListedEndpoint;
 use crate::dialect::ReportedLoad;
+use crate::endpoint_limit::Admission;
 use crate::fleet::CallId;
 use crate::ids::ZoneId;
 use crate::prompt_cache::PromptCache;
@@ -149,6 +150,8 @@
     leaving: bool,
     /// The endpoint asked for no requests until this time.
     paused_until: Option<Instant>,
+    /// Whether the limit that the endpoint states allows a request of this instance.
+    pub admission: Admission,
     pub cache: PromptCache,
 }
 
@@ -166,6 +169,7 @@
             is_replaced: false,
             leaving: false,
             paused_until: None,
+            admission: Admission::Unlimited,
             cache: PromptCache::default(),
         }
     }
@@ -177,6 +181,11 @@
             && self.paused_until.is_none_or(|until| now >= until)
     }
 
+    /// Returns whether the endpoint accepts new requests and states no limit.
+    pub(crate) fn is_unlimited(&self, now: Instant) -> bool {
+        self.is_usable(now) && self.admission == Admission::Unlimited
+    }
+
     /// Returns whether the endpoint is shutting down, according to the list or to its responses.
     pub(crate) fn is_leaving(&self) -> bool {
         self.listed.leaving || self.leaving
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -210,6 +210,7 @@
     ) -> Self {
         let now = forwarder.settings.clock.now();
         let call_id = forwarder.fleet().start(now, &choice, &[]);
+        forwarder.charge_permit(now, &choice.listed.id);
         Self::new(forwarder, fingerprint, choice, call_id)
     }
 
@@ -346,17 +347,19 @@
             tie_breaker: rand::rng().random(),
             is_large_cluster: fleet::is_large_cluster(control.instance_count()),
         };
-        let choice = match fleet.choose(now, &query) {
-            Err(SelectionError::Nowhere | SelectionError::Paused { .. })
-                if !self.excluded.is_empty() =>
-            {
+        let choice = match self.forwarder.select_endpoint(&mut fleet, now, &query) {
+            Err(
+                SelectionError::Nowhere
+                | SelectionError::Paused { .. }
+                | SelectionError::Limited { .. },
+            ) if !self.excluded.is_empty() => {
                 query.excluded = &[];
-                fleet.choose(now, &query)
+                self.forwarder.select_endpoint(&mut fleet, now, &query)
             }
             other => other,
         };
         match choice {
-            Err(SelectionError::Late { .. }) => {
+            Err(SelectionError::Late { .. } | SelectionError::Limited { .. }) => {
                 fleet.record_rejection(now, &self.service, self.rank)
             }
             Err(SelectionError::Full) => {
@@ -379,6 +382,7 @@
             let retry = match reason {
                 SelectionError::Nowhere => MAX_RETRY_AFTER / 3,
                 SelectionError::Paused { wait } => wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+                SelectionError::Limited { rate, .. } => self.permit_interval(rate),
                 SelectionError::Late { expected } => (expected / 2).min(MAX_RETRY_AFTER),
                 SelectionError::Yields => MAX_RETRY_AFTER / 2,
                 // Capacity that has been ordered should be available after this time.
@@ -397,6 +401,7 @@
                     SelectionError::Nowhere => ResultCode::NoEndpoint,
                     SelectionError::Late { .. }
                     | SelectionError::Paused { .. }
+                    | SelectionError::Limited { .. }
                     | SelectionError::Yields
                     | SelectionError::Full => ResultCode::Overloaded,
                 },
@@ -408,6 +413,15 @@
         })
     }
 
+    /// Returns the time in which an instance gets one permit on average, if endpoints limit the requests of
+    /// all instances to this rate.
+    fn permit_interval(&self, rate: RequestRate) -> Duration {
+        let instances = self.forwarder.settings.control.instance_count().max(1);
+        let seconds = f64::from(instances) / rate.per_second();
+        let interval = Duration::try_from_secs_f64(seconds).unwrap_or(MAX_RETRY_AFTER);
+        interval.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    }
+
     /// Sends the request to an endpoint and waits for the first chunk of the response.
     pub(crate) async fn attempt(
         &mut self,
@@ -578,6 +592,9 @@
         let mut fleet = self.forwarder.fleet();
         let ran = is_success && response_info.signed && !response_info.refused;
         fleet.record_response(now, guard.call_id, &response_info, ran);
+        let endpoint = &guard.choice.listed.id;
+        self.forwarder
+            .record_limit(endpoint, guard.sent, &response_info, ran);
         if answer.closes() {
             fleet.record_close(now, guard.call_id);
         }
--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -239,8 +239,8 @@
         };
         let guard = {
             let mut fleet = forwarder.fleet();
-            let mut choice = fleet
-                .choose(now, &query)
+            let mut choice = forwarder
+                .select_endpoint(&mut fleet, now, &query)
                 .inspect_err(|reason| {
                     tracing::info!(
                         request = self.info.id,
--- a/lib/src/peer_message.rs
+++ b/lib/src/peer_message.rs
@@ -15,6 +15,8 @@
 use crate::crash_note::CrashNote;
 use crate::dissemination::Poll;
 use crate::dissemination::Update;
+use crate::endpoint_limit::LimitRow;
+use crate::endpoint_limit::PermitRow;
 use crate::ids::InstanceId;
 use crate::prefix_hint::PrefixHint;
 use crate::quota::ChunkRow;
@@ -53,6 +55,10 @@
     /// Crashes and answers of requests that may crash endpoints, including those of the instances that
     /// poll this one.
     pub crash_notes: Vec<CrashNote>,
+    /// Limits of endpoints as known to this instance, and its demand for permits.
+    pub limits: Vec<LimitRow>,
+    /// Revision of the limits that the previous upstream answered with.
+    pub limits_revision: u64,
 }
 
 /// Response to a poll.
@@ -99,6 +105,10 @@
     pub sightings: Vec<PrefixHint>,
     /// Changes of the endpoint list; `None` if the upstream has no current list.
     pub list_delta: Option<ListDelta>,
+    /// Limits of endpoints that the poller does not know, and permits.
+    pub permits: Vec<PermitRow>,
+    /// Revision of the limits.
+    pub limits_revision: u64,
 }
 
 /// Fingerprints of requests that were in flight when endpoints crashed.
--- a/lib/tests/test_control_thread.rs
+++ b/lib/tests/test_control_thread.rs
@@ -27,6 +27,9 @@
 use fulmarford_lib::control_thread::ControlThread;
 use fulmarford_lib::crash_note::CrashEvent;
 use fulmarford_lib::crash_note::CrashNote;
+use fulmarford_lib::dialect::RequestRate;
+use fulmarford_lib::endpoint_limit::Admission;
+use fulmarford_lib::endpoint_limit::LimitObservation;
 use fulmarford_lib::fingerprint::Fingerprint;
 use fulmarford_lib::peer::Secrets;
 use fulmarford_lib::rules;
@@ -628,6 +631,82 @@
     quarantined(&cluster, 8);
 }
 
+/// Guards against an endpoint's limit that instances learn late or apply each for itself, and against permits
+/// that do not pass relays or a move of the leader.
+#[gtest]
+fn endpoint_limit_shared() {
+    check_endpoint_limit_shared(MAX_DIRECT_POLLERS);
+}
+
+#[gtest]
+fn endpoint_limit_shared_relayed() {
+    check_endpoint_limit_shared(0);
+}
+
+fn check_endpoint_limit_shared(max_direct_pollers: u32) {
+    const ENTRIES: std::ops::Range<usize> = 3..6;
+    const ENDPOINT: u64 = 7;
+    const RATE: f64 = 10.0;
+    const SECONDS: f64 = 4.0;
+    let mut cluster = Cluster::start_with(ENTRIES.start, ENTRIES.len(), max_direct_pollers);
+    cluster.await_views();
+    let observe = |cluster: &Cluster, entry: usize, rate| {
+        let now = Instant::now();
+        let observation = LimitObservation {
+            rate,
+            sent: now,
+            received: now,
+            id: rand::random(),
+        };
+        cluster.control(entry).observe_limit(ENDPOINT, observation)
+    };
+    let await_limit = |cluster: &Cluster, is_limited: bool| {
+        for entry in ENTRIES {
+            wait_for(|| {
+                let admission = cluster
+                    .control(entry)
+                    .endpoint_limits()
+                    .admission(Instant::now(), ENDPOINT);
+                ((admission != Admission::Unlimited) == is_limited).then_some(())
+            });
+        }
+    };
+    // Requests far more than the limit allows at each entry, and returns how many were permitted.
+    let request = |cluster: &Cluster| {
+        let end = Instant::now() + Duration::from_secs_f64(SECONDS);
+        let mut permitted = 0.0;
+        while Instant::now() < end {
+            for entry in ENTRIES {
+                let control = cluster.control(entry);
+                let mut limits = control.endpoint_limits();
+                let now = Instant::now();
+                match limits.admission(now, ENDPOINT) {
+                    Admission::Unlimited => panic!("the limit was forgotten"),
+                    Admission::Blocked(_) => limits.want(now, ENDPOINT),
+                    Admission::Permitted(_) => {
+                        limits.take(now, ENDPOINT);
+                        permitted += 1.0;
+                    }
+                }
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        permitted
+    };
+    let started = Instant::now();
+    expect_true!(observe(&cluster, 3, RequestRate::from_per_second(RATE)));
+    await_limit(&cluster, true);
+    expect_that!(started.elapsed(), lt(Duration::from_secs(1)));
+    let most = 1.5 * RATE * SECONDS + 5.0;
+    expect_that!(request(&cluster), all![ge(RATE * SECONDS / 2.0), le(most)]);
+    let leader = cluster.leader();
+    cluster.threads[leader].take().expect("runs").halt();
+    expect_that!(request(&cluster), le(most));
+    expect_that!(request(&cluster), all![ge(RATE * SECONDS / 2.0), le(most)]);
+    expect_true!(observe(&cluster, 4, None));
+    await_limit(&cluster, false);
+}
+
 /// Guards against limits that every instance applies in full, and against limits that admit nothing.
 #[gtest]
 fn admit_shares_limits() {
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -10,7 +10,10 @@
 use fulmarford_lib::dialect::ListedEndpoint;
 use fulmarford_lib::dialect::PromptPart;
 use fulmarford_lib::dialect::ReportedLoad;
+use fulmarford_lib::dialect::RequestRate;
 use fulmarford_lib::dialect::ResponseInfo;
+use fulmarford_lib::endpoint_limit::LimitObservation;
+use fulmarford_lib::endpoint_limit::LimitTable;
 use fulmarford_lib::fleet::CallOutcome;
 use fulmarford_lib::fleet::Choice;
 use fulmarford_lib::fleet::EndpointQuery;
@@ -720,3 +723,98 @@
         ]
     );
 }
+
+/// Returns limits of one request per second for these endpoints, as the leader's own instance knows them.
+fn limits(f: &Fixture, names: &[&str]) -> LimitTable {
+    let mut table = LimitTable::new(f.now, 1);
+    for (id, name) in (0..).zip(names) {
+        let observation = LimitObservation {
+            rate: RequestRate::from_per_second(1.0),
+            sent: f.now,
+            received: f.now,
+            id,
+        };
+        table.observe(affinity::hash_name(name), observation);
+    }
+    table
+}
+
+/// Guards against requests beyond the limit of an endpoint, and against a limit that takes it out of use.
+#[gtest]
+fn choose_limited_with_permit() {
+    let mut f = Fixture::new(&["a", "b"]);
+    let mut limits = limits(&f, &["a"]);
+    // Without a limit, the first endpoint would be chosen.
+    expect_that!(f.choose(100).listed.id.as_str(), eq("a"));
+    f.fleet.apply_limits(f.now, &limits);
+    expect_that!(f.choose(100).listed.id.as_str(), eq("b"));
+    // A call at the other endpoint makes the limited one the better choice.
+    let choice = f.choose(100);
+    f.fleet.start(f.now, &choice, &[]);
+    let passed_over = f.choose(100).passed_over;
+    expect_that!(passed_over, some(eq(affinity::hash_name("a"))));
+    limits.want(f.now, affinity::hash_name("a"));
+    limits.grant_own(f.now, 1, 1);
+    f.advance(Duration::from_secs(1));
+    limits.want(f.now, affinity::hash_name("a"));
+    limits.grant_own(f.now, 1, 1);
+    f.fleet.apply_limits(f.now, &limits);
+    expect_that!(f.choose(100).listed.id.as_str(), eq("a"));
+    limits.take(f.now, affinity::hash_name("a"));
+    f.fleet.apply_limits(f.now, &limits);
+    expect_that!(f.choose(100).listed.id.as_str(), eq("b"));
+}
+
+/// Guards against demand for permits of one endpoint only when all have limits, which would leave the others
+/// unused.
+#[gtest]
+fn choose_spreads_demand_for_permits() {
+    let mut f = Fixture::new(&["a", "b", "c"]);
+    let limits = limits(&f, &["a", "b", "c"]);
+    f.fleet.apply_limits(f.now, &limits);
+    let passed_over = |tie_breaker| {
+        let query = EndpointQuery {
+            tie_breaker,
+            ..f.query()
+        };
+        match f.fleet.choose(f.now, &query) {
+            Err(SelectionError::Limited { passed_over, rate }) => {
+                expect_that!(rate.per_second(), eq(3.0));
+                passed_over
+            }
+            other => panic!("not limited: {other:?}"),
+        }
+    };
+    let endpoints: std::collections::HashSet<_> = (0..30).filter_map(passed_over).collect();
+    expect_that!(endpoints.len(), eq(3));
+}
+
+/// Guards against permits that are used for less urgent requests while more urgent ones are rejected, and
+/// against less urgent ones that get none.
+#[gtest]
+fn choose_yields_permit_to_more_urgent() {
+    let mut f = Fixture::new(&["a"]);
+    let mut limits = limits(&f, &["a"]);
+    limits.grant_own(f.now, 1, 1);
+    f.advance(Duration::from_secs(1));
+    limits.want(f.now, affinity::hash_name("a"));
+    limits.grant_own(f.now, 1, 1);
+    f.fleet.apply_limits(f.now, &limits);
+    let is_chosen = |f: &Fixture, urgency, draw| {
+        let query = EndpointQuery {
+            urgency,
+            draw,
+            ..f.query()
+        };
+        f.fleet.choose(f.now, &query).is_ok()
+    };
+    expect_that!(is_chosen(&f, 3, 0.9), eq(true));
+    f.fleet.record_rejection(f.now, &f.service, 2);
+    expect_that!(is_chosen(&f, 3, 0.9), eq(false));
+    expect_that!(is_chosen(&f, 3, 0.1), eq(true));
+    expect_that!(is_chosen(&f, 2, 0.9), eq(true));
+    // A retry was admitted before.
+    expect_that!(is_chosen(&f, 3, 1.0), eq(true));
+    f.advance(Duration::from_secs(1));
+    expect_that!(is_chosen(&f, 3, 0.9), eq(true));
+}
