Hold permits in reserve while the demand is below the limit

What callers would see: if all endpoints of a service state limits, a request that comes before a poll has brought a permit is refused, however far the limit is above the demand.

Cause: permits were made only for the requests of the last second, and expire; nothing is held for the next one.

Change: instances that serve callers ask for a reserve, which the leader and relays give only while the requests of callers get all that they want. The bound on what is sent does not change, since the reserve comes from the same buckets.

Limited endpoints count as capacity again when long requests are shed: a limit that does not bind takes no capacity away. docs/OPERATIONS.md shows the way from a refusal to the limit.

--- a/lib/src/endpoint_limit.rs
+++ b/lib/src/endpoint_limit.rs
@@ -13,6 +13,8 @@
 //!   its end from the sending of the request that proves it; the later one counts.
 //! * No leader, or an instance that is cut off: permits expire. After [`CONTACT_TIMEOUT`] the instance uses
 //!   its part of the limit, in random slots that do not accumulate.
+//! * A limit above the demand: permits that nobody asks for are held in reserve by the instances, so that a
+//!   request does not have to wait for a poll.
 //! * A limit without requests: a permit is made at least every 10 s, since only a response shows that the
 //!   limit has ended.
 
@@ -52,6 +54,14 @@
 /// Time for which the end of a limit is remembered, so that all instances learn of it.
 const LIFTED_TTL: Duration = Duration::from_secs(10);
 
+/// Time before their end at which permits in reserve are replaced. That takes two polls through a relay, each
+/// held for up to 250 ms.
+const RENEW_TIME: Duration = Duration::from_millis(700);
+
+/// Permits in reserve of an instance without demand: for a first request, and for the next one before a poll
+/// brings more.
+const MIN_RESERVE: u32 = 2;
+
 /// Time over which requests for an endpoint are counted.
 const DEMAND_WINDOW: Duration = Duration::from_secs(1);
 
@@ -76,13 +86,42 @@
     pub age: Duration,
     /// Number of permits that the instance could use.
     pub wanted: u32,
+    /// Number of further permits that the instance would hold in reserve.
+    pub reserve: u32,
+}
+
+/// Permits that an instance asks for.
+#[derive(Clone, Copy, Debug, Default)]
+struct Ask {
+    /// Permits for the requests of its callers.
+    wanted: u32,
+    /// Permits for a first request and for an increase of the demand.
+    reserve: u32,
+}
+
+impl Ask {
+    fn saturating_add(self, other: Self) -> Self {
+        Self {
+            wanted: self.wanted.saturating_add(other.wanted),
+            reserve: self.reserve.saturating_add(other.reserve),
+        }
+    }
+}
+
+impl LimitRow {
+    fn ask(&self) -> Ask {
+        Ask {
+            wanted: self.wanted,
+            reserve: self.reserve,
+        }
+    }
 }
 
 /// A limit, and permits for the instance that receives it.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PermitRow {
-    /// The limit; `wanted` has no meaning.
+    /// The limit; `wanted` and `reserve` have no meaning.
     pub limit: LimitRow,
     /// Number of permits.
     pub permits: u32,
@@ -140,9 +179,11 @@
     /// Times of the requests for which the endpoint was or would have been chosen.
     demand: VecDeque<Instant>,
     stock: PermitStock,
-    /// Permits that the polling instances could use, and when they said so.
-    downstream: BTreeMap<InstanceId, (Instant, u32)>,
+    /// What the polling instances asked for, and when.
+    downstream: BTreeMap<InstanceId, (Instant, Ask)>,
     bucket: Option<PermitBucket>,
+    /// When there were fewer permits than wanted.
+    short_at: Option<Instant>,
     /// The last slot in which requests were sent without contact to the leader, and their number.
     used_slot: (u64, u32),
 }
@@ -155,6 +196,7 @@
             stock: PermitStock::default(),
             downstream: BTreeMap::new(),
             bucket: None,
+            short_at: None,
             used_slot: (0, 0),
         }
     }
@@ -180,23 +222,45 @@
         self.demand.push_back(now);
     }
 
-    /// Returns the number of permits that this instance could use.
-    fn own_wanted(&mut self, now: Instant) -> u32 {
+    /// Returns what this instance asks for besides the permits that it holds; `downstream` is what it is asked
+    /// for. Only an instance that serves callers holds a reserve.
+    fn ask(&mut self, now: Instant, serves_callers: bool, downstream: Ask) -> Ask {
         self.demand.retain(|at| is_recent(now, *at));
         let demand = u32::try_from(self.demand.len()).unwrap_or(u32::MAX);
-        demand.saturating_sub(self.stock.count(now))
+        let own = Ask {
+            wanted: demand,
+            reserve: match serves_callers {
+                true => demand.saturating_add(MIN_RESERVE),
+                false => 0,
+            },
+        };
+        let needed = downstream.saturating_add(own);
+        let lasting = self.stock.count(now + RENEW_TIME);
+        // Pollers have no use for permits that end before their next poll.
+        let usable = match downstream.wanted {
+            0 => self.stock.count(now),
+            _ => lasting,
+        };
+        let wanted = needed.wanted.saturating_sub(usable);
+        let covered = wanted.saturating_add(lasting);
+        let most = needed.wanted.saturating_add(needed.reserve);
+        Ask {
+            wanted,
+            reserve: most.saturating_sub(covered),
+        }
     }
 
-    /// Returns the number of permits that this instance and those that poll it could use.
-    fn wanted(&mut self, now: Instant) -> u32 {
+    /// Returns what the instances ask for that poll this one, other than `except`.
+    fn downstream_ask(&mut self, now: Instant, except: Option<&InstanceId>) -> Ask {
         self.downstream.retain(|_, (at, _)| is_recent(now, *at));
-        let own = self.own_wanted(now);
-        let downstream = self.downstream.values().map(|(_, wanted)| *wanted);
-        downstream.fold(own, u32::saturating_add)
+        let others = self.downstream.iter().filter(|(id, _)| Some(*id) != except);
+        let asks = others.map(|(_, (_, ask))| *ask);
+        asks.fold(Ask::default(), Ask::saturating_add)
     }
 
-    /// Takes up to `wanted` permits from the bucket, as the leader.
-    fn make_permits(&mut self, now: Instant, wanted: u32) -> u32 {
+    /// Takes permits from the bucket, as the leader. A reserve is given only while the requests of callers get
+    /// all that they want.
+    fn make_permits(&mut self, now: Instant, ask: Ask) -> u32 {
         let Some(rate) = self.record.rate else {
             self.bucket = None;
             return 0;
@@ -206,7 +270,23 @@
             .bucket
             .get_or_insert_with(|| PermitBucket::new(now, rate));
         bucket.set_rate(now, rate);
-        bucket.take(now, wanted)
+        let permits = bucket.take(now, ask.wanted);
+        if permits < ask.wanted {
+            self.short_at = Some(now);
+        }
+        match self.short_at.is_some_and(|at| is_recent(now, at)) {
+            true => permits,
+            false => permits + bucket.take(now, ask.reserve),
+        }
+    }
+
+    /// Takes permits from the stock for a polling instance, as a relay; returns their number and lifetime.
+    fn pass_permits(&mut self, now: Instant, poller: &InstanceId, ask: Ask) -> (u32, Duration) {
+        let others = self.downstream_ask(now, Some(poller));
+        let wanted = others.wanted.saturating_add(ask.wanted);
+        let spare = self.stock.count(now).saturating_sub(wanted);
+        let asked = ask.wanted.saturating_add(ask.reserve.min(spare));
+        self.stock.split(now, asked).unwrap_or_default()
     }
 
     fn row(&self, now: Instant, endpoint: u64) -> LimitRow {
@@ -216,6 +296,7 @@
             observation: self.record.observation,
             age: now.saturating_duration_since(self.record.at),
             wanted: 0,
+            reserve: 0,
         }
     }
 }
@@ -231,6 +312,8 @@
     revision: u64,
     /// The term in which the buckets were created.
     term: u64,
+    /// Whether this instance serves callers.
+    serves_callers: bool,
     /// Time of the last request that the leader or a relay answered.
     last_contact: Instant,
     /// Number of instances that serve callers.
@@ -246,11 +329,17 @@
             endpoints: HashMap::new(),
             revision: 0,
             term: 0,
+            serves_callers: false,
             last_contact: now,
             instance_count: 0,
         }
     }
 
+    /// Declares that this instance serves callers.
+    pub fn serve_callers(&mut self) {
+        self.serves_callers = true;
+    }
+
     /// Returns whether no endpoint has a limit, or had one a short time ago.
     pub fn is_empty(&self) -> bool {
         self.endpoints.is_empty()
@@ -370,8 +459,8 @@
         self.last_contact = now;
         self.instance_count = instance_count;
         for known in self.endpoints.values_mut() {
-            let wanted = known.own_wanted(now);
-            let permits = known.make_permits(now, wanted);
+            let ask = known.ask(now, self.serves_callers, Ask::default());
+            let permits = known.make_permits(now, ask);
             known.stock.add(now + PERMIT_LIFETIME, permits);
         }
     }
@@ -379,9 +468,14 @@
     /// Returns what to report to the leader or a relay.
     pub fn report(&mut self, now: Instant) -> Vec<LimitRow> {
         self.endpoints.retain(|_, known| !known.is_expired(now));
-        let rows = self.endpoints.iter_mut().map(|(endpoint, known)| LimitRow {
-            wanted: known.wanted(now),
-            ..known.row(now, *endpoint)
+        let rows = self.endpoints.iter_mut().map(|(endpoint, known)| {
+            let downstream = known.downstream_ask(now, None);
+            let ask = known.ask(now, self.serves_callers, downstream);
+            LimitRow {
+                wanted: ask.wanted,
+                reserve: ask.reserve,
+                ..known.row(now, *endpoint)
+            }
         });
         let mut rows: Vec<_> = rows.collect();
         rows.sort_unstable_by_key(|row| std::cmp::Reverse(row.wanted));
@@ -395,7 +489,7 @@
         for row in rows.iter().take(MAX_ROWS) {
             is_changed |= self.merge(row.endpoint, record(now, row));
             if let Some(known) = self.endpoints.get_mut(&row.endpoint) {
-                known.downstream.insert(poller.clone(), (now, row.wanted));
+                known.downstream.insert(poller.clone(), (now, row.ask()));
             }
         }
         is_changed
@@ -418,17 +512,16 @@
         let mut rows = Vec::new();
         for (endpoint, known) in &mut self.endpoints {
             let reported = report.iter().find(|row| row.endpoint == *endpoint);
-            let wanted = reported.map_or(0, |row| row.wanted);
+            let ask = reported.map_or_else(Ask::default, LimitRow::ask);
             let (permits, lifetime) = match term {
-                Some(_) => (known.make_permits(now, wanted), PERMIT_LIFETIME),
-                None => known.stock.split(now, wanted).unwrap_or_default(),
+                Some(_) => (known.make_permits(now, ask), PERMIT_LIFETIME),
+                None => known.pass_permits(now, poller, ask),
             };
-            let is_known = reported.is_some_and(|row| row.observation == known.record.observation);
-            if permits > 0
-                && let Some((_, wanted)) = known.downstream.get_mut(poller)
-            {
-                *wanted = wanted.saturating_sub(permits);
+            if permits > 0 {
+                // What the poller got, it does not ask for again.
+                known.downstream.remove(poller);
             }
+            let is_known = reported.is_some_and(|row| row.observation == known.record.observation);
             if permits > 0 || !is_known {
                 rows.push(PermitRow {
                     limit: known.row(now, *endpoint),
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -528,16 +528,12 @@
         if query.prompt < LONG_PROMPT_TOKENS || query.urgency == 0 || query.total.long <= 0.0 {
             return 0.0;
         }
-        let unlimited = self
+        let usable = self
             .service_endpoints(query.service)
-            .filter(|e| e.is_unlimited(now));
-        let (count, slots) = unlimited.fold((0.0, 0.0), |(count, slots), e| {
+            .filter(|e| e.is_usable(now));
+        let (count, slots) = usable.fold((0.0, 0.0), |(count, slots), e| {
             (count + 1.0, slots + f64::from(e.listed.slots))
         });
-        if count == 0.0 && self.total_limit(now, query.service).is_some() {
-            // Permits decide which requests are sent.
-            return 0.0;
-        }
         // No request is shed while the engines' batches have free slots.
         if query.total.calls < slots * BUSY_SLOT_FRACTION {
             return 0.0;
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -130,6 +130,7 @@
 impl Forwarder {
     /// Creates a forwarder.
     pub fn new(settings: Settings) -> Arc<Self> {
+        settings.control.endpoint_limits().serve_callers();
         Arc::new(Self {
             started: settings.clock.now(),
             settings,
--- a/lib/tests/test_endpoint_limit.rs
+++ b/lib/tests/test_endpoint_limit.rs
@@ -114,7 +114,13 @@
         let processes = (0..config.voters + config.entries)
             .map(|n| Process {
                 id: format!("p{n}").into(),
-                table: LimitTable::new(start, rng.random()),
+                table: {
+                    let mut table = LimitTable::new(start, rng.random());
+                    if n >= config.voters {
+                        table.serve_callers();
+                    }
+                    table
+                },
                 poll: None,
                 cut_until: start,
                 frozen_until: start,
@@ -412,6 +418,39 @@
     }
 }
 
+/// Guards against callers that notice a limit far above their demand, if all requests depend on it.
+#[gtest]
+fn take_below_limit() {
+    for (entries, voters, demand, limit) in
+        [(8, 1, 0.5, 40.0), (8, 3, 2.5, 80.0), (60, 5, 0.3, 200.0)]
+    {
+        let (mut refused, mut requests) = (0, 0);
+        for seed in 0..8 {
+            let config = Config {
+                entries,
+                voters,
+                demand,
+                limits: vec![(0.0, Some(limit))],
+                faults: 0.0,
+                seconds: 5,
+            };
+            let mut world = World::new(seed, config);
+            world.run();
+            let (refused_before, sent_before) = (world.refused, world.arrivals.len());
+            world.config.seconds = 45;
+            world.run();
+            refused += world.refused - refused_before;
+            requests += world.refused - refused_before + world.arrivals.len() - sent_before;
+        }
+        let share = refused as f64 / requests as f64;
+        expect_that!(
+            share,
+            le(0.05),
+            "{entries} entries, {demand} requests a second each"
+        );
+    }
+}
+
 /// Guards against a limit of zero that lasts for ever, since no response would show its end.
 #[gtest]
 fn take_after_limit_of_zero() {
@@ -552,6 +591,7 @@
         observation: 1,
         age: Duration::ZERO,
         wanted: 100,
+        reserve: 0,
     };
     let entry = InstanceId::from("e");
     leader.collect(start, &entry, std::slice::from_ref(&row));
