--- a/lib/tests/test_endpoint_limit.rs
+++ b/lib/tests/test_endpoint_limit.rs
@@ -39,6 +39,16 @@
 /// Length of the windows in which requests are counted.
 const WINDOW: Duration = Duration::from_secs(4);
 
+/// Number of schedules for each limit of [`take_bounded_under_faults`], unless `FULMARFORD_SCHEDULES` is set.
+const SCHEDULES: u64 = 24;
+
+fn env_or(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value.map_or(default, |text| {
+        text.parse().expect("the setting is not a number")
+    })
+}
+
 fn rate(per_second: f64) -> RequestRate {
     RequestRate::from_per_second(per_second).expect("a valid rate")
 }
@@ -359,7 +369,8 @@
 #[gtest]
 fn take_bounded_under_faults() {
     let sizes = [(3, 1, 20.0), (8, 1, 6.0), (18, 3, 4.0), (60, 5, 2.0)];
-    for seed in 0..24 {
+    let first = env_or("FULMARFORD_SEED", 0);
+    for seed in first..first + env_or("FULMARFORD_SCHEDULES", SCHEDULES) {
         let (entries, voters, demand) = sizes[seed as usize % sizes.len()];
         for limit in [0.5, 1.0, 4.0, 20.0] {
             for faults in [0.0, 6.0] {
