Separate the news of a limit from what is asked for and granted

Reports and answers shared a type with fields that had no meaning in one of them. No decision changes: test_endpoint_limit passes.

--- a/lib/src/endpoint_limit.rs
+++ b/lib/src/endpoint_limit.rs
@@ -71,10 +71,10 @@
 /// Maximum number of endpoints in a message, at about 30 bytes each.
 const MAX_ROWS: usize = 128;
 
-/// What an instance reports about the limit of an endpoint.
+/// The newest observation of an endpoint's limit, as instances tell each other.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LimitRow {
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitNews {
     /// Hash of the endpoint's name.
     pub endpoint: u64,
     /// The limit, or `None` if it has ended.
@@ -84,6 +84,13 @@
     /// Time since the observation; a relative time, because the clocks of the instances differ.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub age: Duration,
+}
+
+/// What an instance reports about the limit of an endpoint.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitRow {
+    /// The limit.
+    pub news: LimitNews,
     /// Number of permits that the instance could use.
     pub wanted: u32,
     /// Number of further permits that the instance would hold in reserve.
@@ -121,8 +128,8 @@
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PermitRow {
-    /// The limit; `wanted` and `reserve` have no meaning.
-    pub limit: LimitRow,
+    /// The limit.
+    pub news: LimitNews,
     /// Number of permits.
     pub permits: u32,
     /// Time for which the permits are valid, from the request for them.
@@ -289,14 +296,12 @@
         self.stock.split(now, asked).unwrap_or_default()
     }
 
-    fn row(&self, now: Instant, endpoint: u64) -> LimitRow {
-        LimitRow {
+    fn news(&self, now: Instant, endpoint: u64) -> LimitNews {
+        LimitNews {
             endpoint,
             rate: self.record.rate,
             observation: self.record.observation,
             age: now.saturating_duration_since(self.record.at),
-            wanted: 0,
-            reserve: 0,
         }
     }
 }
@@ -472,9 +477,9 @@
             let downstream = known.downstream_ask(now, None);
             let ask = known.ask(now, self.serves_callers, downstream);
             LimitRow {
+                news: known.news(now, *endpoint),
                 wanted: ask.wanted,
                 reserve: ask.reserve,
-                ..known.row(now, *endpoint)
             }
         });
         let mut rows: Vec<_> = rows.collect();
@@ -487,8 +492,8 @@
     pub fn collect(&mut self, now: Instant, poller: &InstanceId, rows: &[LimitRow]) -> bool {
         let mut is_changed = false;
         for row in rows.iter().take(MAX_ROWS) {
-            is_changed |= self.merge(row.endpoint, record(now, row));
-            if let Some(known) = self.endpoints.get_mut(&row.endpoint) {
+            is_changed |= self.merge(row.news.endpoint, record(now, &row.news));
+            if let Some(known) = self.endpoints.get_mut(&row.news.endpoint) {
                 known.downstream.insert(poller.clone(), (now, row.ask()));
             }
         }
@@ -511,7 +516,7 @@
         self.endpoints.retain(|_, known| !known.is_expired(now));
         let mut rows = Vec::new();
         for (endpoint, known) in &mut self.endpoints {
-            let reported = report.iter().find(|row| row.endpoint == *endpoint);
+            let reported = report.iter().find(|row| row.news.endpoint == *endpoint);
             let ask = reported.map_or_else(Ask::default, LimitRow::ask);
             let (permits, lifetime) = match term {
                 Some(_) => (known.make_permits(now, ask), PERMIT_LIFETIME),
@@ -521,10 +526,11 @@
                 // What the poller got, it does not ask for again.
                 known.downstream.remove(poller);
             }
-            let is_known = reported.is_some_and(|row| row.observation == known.record.observation);
+            let is_known =
+                reported.is_some_and(|row| row.news.observation == known.record.observation);
             if permits > 0 || !is_known {
                 rows.push(PermitRow {
-                    limit: known.row(now, *endpoint),
+                    news: known.news(now, *endpoint),
                     permits,
                     lifetime,
                 });
@@ -556,10 +562,10 @@
         self.instance_count = instance_count;
         let mut is_changed = false;
         for row in rows {
-            is_changed |= self.merge(row.limit.endpoint, record(now, &row.limit));
-            let known = self.endpoints.get_mut(&row.limit.endpoint);
+            is_changed |= self.merge(row.news.endpoint, record(now, &row.news));
+            let known = self.endpoints.get_mut(&row.news.endpoint);
             // Permits for another rate than the known one may exceed it.
-            if let Some(known) = known.filter(|known| known.record.rate == row.limit.rate) {
+            if let Some(known) = known.filter(|known| known.record.rate == row.news.rate) {
                 let lifetime = row.lifetime.min(PERMIT_LIFETIME);
                 known.stock.add(sent + lifetime, row.permits);
             }
@@ -586,11 +592,11 @@
     now.saturating_duration_since(at) < DEMAND_WINDOW
 }
 
-/// Returns the record that a row states.
-fn record(now: Instant, row: &LimitRow) -> Record {
+/// Returns the record that another instance's news states.
+fn record(now: Instant, news: &LimitNews) -> Record {
     Record {
-        rate: row.rate,
-        at: now.checked_sub(row.age).unwrap_or(now),
-        observation: row.observation,
+        rate: news.rate,
+        at: now.checked_sub(news.age).unwrap_or(now),
+        observation: news.observation,
     }
 }
--- a/lib/tests/test_endpoint_limit.rs
+++ b/lib/tests/test_endpoint_limit.rs
@@ -10,6 +10,7 @@
 use fulmarford_lib::dialect::RequestRate;
 use fulmarford_lib::endpoint_limit::Admission;
 use fulmarford_lib::endpoint_limit::CONTACT_TIMEOUT;
+use fulmarford_lib::endpoint_limit::LimitNews;
 use fulmarford_lib::endpoint_limit::LimitObservation;
 use fulmarford_lib::endpoint_limit::LimitRow;
 use fulmarford_lib::endpoint_limit::LimitTable;
@@ -597,10 +598,12 @@
     let at = |ms| start + Duration::from_millis(ms);
     let mut leader = LimitTable::new(start, 1);
     let row = LimitRow {
-        endpoint: ENDPOINT,
-        rate: Some(rate(20.0)),
-        observation: 1,
-        age: Duration::ZERO,
+        news: LimitNews {
+            endpoint: ENDPOINT,
+            rate: Some(rate(20.0)),
+            observation: 1,
+            age: Duration::ZERO,
+        },
         wanted: 100,
         reserve: 0,
     };
