Log how the end of an answer was marked

A body ends with its length, its last chunk, or its connection. A relayed error response is also recorded with its own status instead of 200.

--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -52,6 +52,7 @@
 use crate::upstream::Call;
 use crate::upstream::CallError;
 use crate::upstream::Client;
+use crate::upstream::Delimiter;
 use crate::upstream::Echo;
 
 /// Size up to which a response is buffered completely before it is sent; a larger one is streamed.
@@ -623,7 +624,7 @@
                 } else {
                     CallOutcome::Failed
                 });
-                self.finish(status);
+                self.finish(status, answer.delimiter);
                 Ok(build_response(status, headers, server::full(buffered)))
             }
             Ok(Ok(false)) => {
@@ -659,8 +660,8 @@
         build_response(status, headers, body)
     }
 
-    /// Records a complete response in the metrics and the log.
-    pub(crate) fn finish(&self, status: u16) {
+    /// Records a complete response in the metrics and the log; `end` names the evidence that it is complete.
+    pub(crate) fn finish(&self, status: u16, end: Delimiter) {
         let took = self.now().saturating_duration_since(self.arrived);
         self.forwarder
             .settings
@@ -671,6 +672,7 @@
             status,
             attempts = self.attempts,
             took_ms = took.as_millis() as u64,
+            %end,
             "answered"
         );
     }
--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -76,7 +76,7 @@
             let (reason, moved) = match outcome {
                 RelayEnd::Complete => {
                     sender.complete();
-                    return self.finish(200);
+                    return self.finish(started.answer.status, started.answer.delimiter);
                 }
                 RelayEnd::Disconnected => {
                     tracing::info!(request = self.info.id, "caller disconnected");
--- a/lib/src/upstream.rs
+++ b/lib/src/upstream.rs
@@ -26,6 +26,8 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
+use http::StatusCode;
+use http::header;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -119,6 +121,18 @@
     pub value: &'a str,
 }
 
+/// How the end of a response body is marked (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(rename_all = "lowercase")]
+pub enum Delimiter {
+    /// The head states the length, or the response has no body.
+    Length,
+    /// The last chunk is marked.
+    Chunks,
+    /// The body ends with its connection, so that one which broke off may look complete.
+    Close,
+}
+
 /// A client with a connection pool, which clones share.
 #[derive(Clone, Default)]
 pub struct Client {
@@ -176,6 +190,8 @@
     pub status: u16,
     /// The headers.
     pub headers: HeaderMap,
+    /// How the end of the body is marked.
+    pub delimiter: Delimiter,
     /// Time for which the idle connection may be pooled.
     idle: Duration,
     /// Whether earlier calls used the connection.
@@ -246,6 +262,7 @@
             reused: connection.reused,
             carried,
             status: parts.status.as_u16(),
+            delimiter: delimiter(&call.method, parts.status, &parts.headers),
             headers: parts.headers,
             body,
             address: call.address,
@@ -360,6 +377,29 @@
     }
 }
 
+/// Returns how the end of a response body is marked.
+fn delimiter(method: &Method, status: StatusCode, headers: &HeaderMap) -> Delimiter {
+    let has_body = method != Method::HEAD
+        && status != StatusCode::NO_CONTENT
+        && status != StatusCode::NOT_MODIFIED;
+    if !has_body {
+        return Delimiter::Length;
+    }
+    let codings = headers.get_all(header::TRANSFER_ENCODING);
+    match codings.iter().next_back() {
+        Some(codings) if is_chunked(codings) => Delimiter::Chunks,
+        Some(_) => Delimiter::Close,
+        None if headers.contains_key(header::CONTENT_LENGTH) => Delimiter::Length,
+        None => Delimiter::Close,
+    }
+}
+
+/// Returns whether the last of these transfer codings is `chunked`.
+fn is_chunked(codings: &HeaderValue) -> bool {
+    let last = codings.as_bytes().rsplit(|byte| *byte == b',').next();
+    last.is_some_and(|coding| coding.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+}
+
 /// Returns how long a connection may be kept idle after a response with these headers.
 fn idle_timeout(headers: &HeaderMap) -> Duration {
     let stated = headers.get("keep-alive").and_then(|value| {
--- a/lib/tests/test_upstream.rs
+++ b/lib/tests/test_upstream.rs
@@ -15,6 +15,7 @@
 use fulmarford_lib::upstream::Call;
 use fulmarford_lib::upstream::CallError;
 use fulmarford_lib::upstream::Client;
+use fulmarford_lib::upstream::Delimiter;
 use fulmarford_lib::upstream::Echo;
 use googletest::prelude::*;
 use http::HeaderMap;
@@ -77,6 +78,31 @@
 
 const OK: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
+/// Guards against a wrong idea of what shows that a body is complete.
+#[gtest]
+fn send_delimiter() {
+    let cases: [(&[u8], Delimiter); 6] = [
+        (OK, Delimiter::Length),
+        (b"HTTP/1.1 204 Empty\r\n\r\n", Delimiter::Length),
+        (b"HTTP/1.1 200 OK\r\n\r\nok", Delimiter::Close),
+        (b"HTTP/1.0 200 OK\r\n\r\nok", Delimiter::Close),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            Delimiter::Chunks,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nok",
+            Delimiter::Close,
+        ),
+    ];
+    for (response, delimiter) in cases {
+        let server = closing_server(response, 1);
+        let answer = run(Client::default().send(call(server.address, false)));
+        let answer = answer.expect("a response");
+        expect_that!(answer.delimiter, eq(delimiter));
+    }
+}
+
 /// Guards against treating a refused connection as a call that may have run.
 #[gtest]
 fn send_refused() {
