Break off a stream that ends within an event

The engine streams without length and chunks and its connection ends within an event.

Cause: the relay called a response complete at any orderly end of its body, and looked at the last bytes of resumable streams only. Where the end of the connection is the only mark of the end, that holds for every engine that fails and closes.

--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -23,6 +23,7 @@
 use crate::dialect::RequestInfo;
 use crate::dialect::RequestRate;
 use crate::dialect::RunCopy;
+use crate::event_framer::EventFramer;
 use crate::fingerprint::Fingerprint;
 use crate::fleet;
 use crate::fleet::CallId;
@@ -538,6 +539,16 @@
             () if is_success && (!response_info.signed || answer.is_encoded()) => {
                 return Err(Failure::NoResponse(CallOutcome::Broken));
             }
+            () if first.is_none()
+                && answer.delimiter == Delimiter::Close
+                && StreamHead::of(&answer, self.route.retry_policy).is_some() =>
+            {
+                tracing::info!(
+                    request = self.info.id,
+                    "stream ended before its first event"
+                );
+                return Err(Failure::NoResponse(CallOutcome::Broken));
+            }
             () if self
                 .stream
                 .as_ref()
@@ -617,7 +628,13 @@
             }
             Ok(false)
         });
-        match read_all.await {
+        let read_all = match read_all.await {
+            Ok(Ok(true)) if is_cut_stream(&answer, self.route.retry_policy, &buffered) => {
+                Ok(Err(io::Error::other("the stream ended within an event")))
+            }
+            other => other,
+        };
+        match read_all {
             Ok(Ok(true)) => {
                 guard.end(if status < 500 {
                     CallOutcome::Served
@@ -652,7 +669,7 @@
 
     /// Streams a response to the caller.
     fn stream(mut self, started: StartedResponse) -> Response {
-        self.stream = StreamHead::of(&started.answer);
+        self.stream = StreamHead::of(&started.answer, self.route.retry_policy);
         let status = started.answer.status;
         let headers = end_to_end_headers(&started.answer.headers);
         let (sender, body) = answer::channel();
@@ -678,6 +695,16 @@
     }
 }
 
+/// Returns whether a body that was read to its end is an event stream that broke off.
+fn is_cut_stream(answer: &upstream::Answer, route: RetryPolicy, body: &[u8]) -> bool {
+    let Some(head) = StreamHead::of(answer, route) else {
+        return false;
+    };
+    let mut events = EventFramer::default();
+    events.observe(body);
+    !head.is_complete(answer.delimiter, &events)
+}
+
 fn build_response(status: u16, headers: HeaderMap, body: server::Body) -> Response {
     let mut response = http::Response::new(body);
     // The status of a parsed response is valid; the fallback must not look like a success.
--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -34,6 +34,7 @@
 use crate::retry::RetryChance;
 use crate::route_table::RetryPolicy;
 use crate::service_load::ServiceLoad;
+use crate::upstream;
 
 /// Time for which a complete stream waits for the outcome of a pending move, which arrives on another
 /// connection.
@@ -126,6 +127,16 @@
             && self.engine.as_ref().is_some_and(|e| e.moves)
     }
 
+    /// Returns whether the response of an endpoint, which has ended in order, is complete.
+    fn is_complete(&self, answer: &upstream::Answer, framer: &EventFramer) -> bool {
+        let Some(head) = &self.stream else {
+            return true;
+        };
+        // An endpoint that continues a stream sends whole events.
+        let may_be_partial = !self.is_resumable() && !framer.is_restarted();
+        head.is_complete(answer.delimiter, framer) && (may_be_partial || !framer.is_partial())
+    }
+
     /// Relays the response of one endpoint until it ends, is interrupted or is moved.
     async fn relay_response(
         &mut self,
@@ -161,7 +172,10 @@
                             return RelayEnd::Broken;
                         }
                     },
-                    false => bytes,
+                    false => {
+                        framer.observe(&bytes);
+                        bytes
+                    }
                 };
                 if !bytes.is_empty() {
                     if sender.send(bytes).await.is_err() {
@@ -242,8 +256,8 @@
                 return RelayEnd::Moved(Box::new(moved));
             }
             return match next {
-                // An endpoint that continues the stream of another one sends whole events.
-                Ok(Ok(_)) if framer.is_partial() && (is_resumable || framer.is_restarted()) => {
+                Ok(Ok(_)) if !self.is_complete(&started.answer, framer) => {
+                    self.log_interruption(&started.guard, &"the stream ended within an event");
                     RelayEnd::Broken
                 }
                 Ok(Ok(_)) => {
