Refuse requests for lack of time only, not for a preference

What callers saw: 503 "its target cannot be met" beside idle engines.

Cause: the score that orders endpoints was also the expected time by which a request is refused. It holds penalties that are no time: closed connections (3 s), prompts of the other length (0.25 and 1 s), parts that are read again (twice their time) or copied (three times), and the random order of large groups.

The time to the first byte is now kept beside the rank. Timers of silent endpoints follow the score as before, but for closed connections.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -392,7 +392,7 @@
             is_preferred,
         );
         let yields_permit = self.yields_permit(now, query);
-        let mut best: Option<(f64, f64, &Endpoint, u32, Option<SocketAddr>)> = None;
+        let mut best: Option<Candidate<'_>> = None;
         // Ranks of the endpoints for which only a permit is missing.
         let mut blocked: Vec<(f64, u64)> = Vec::new();
         for endpoint in self
@@ -411,11 +411,14 @@
             let source = holders.source(endpoint, known.min(shared_tokens(query.parts)));
             let copied = source.map_or(0, |source| source.tokens.saturating_sub(cached));
             let prefill_tokens = query.prompt.saturating_sub(cached + copied);
-            let mut score = endpoint.expected_delay(now, prefill_tokens, rate, &self.zone);
+            let mut delay = endpoint.expected_delay(now, prefill_tokens, rate, &self.zone);
+            let mut score = delay;
             let recomputed = shared_tokens(query.parts).saturating_sub(cached + copied);
             score += f64::from(recomputed) / rate * RECOMPUTE_WEIGHT;
             if copied > 0 {
-                score += f64::from(copied) / holders.copy_rate * COPY_WEIGHT;
+                let copy_time = f64::from(copied) / holders.copy_rate;
+                delay += copy_time;
+                score += copy_time * COPY_WEIGHT;
             }
             if !is_preferred(endpoint) {
                 score += if is_long {
@@ -424,12 +427,10 @@
                     LONG_PROMPT_ENDPOINT_PENALTY_MS
                 };
             }
-            // Load of other instances affects the order of endpoints, but not the expected time.
-            let mut rank = score;
+            let mut rank = score + endpoint.close_penalty(now);
             if query.is_large_cluster {
                 let draw = affinity::mix(query.tie_breaker, endpoint.hash) as f64 / u64::MAX as f64;
-                score += draw * MAX_JITTER_MS;
-                rank = score + endpoint.remote_load_penalty(now, rate);
+                rank += draw * MAX_JITTER_MS + endpoint.remote_load_penalty(now, rate);
             }
             let is_available = match endpoint.admission {
                 Admission::Unlimited => true,
@@ -439,36 +440,38 @@
                     false
                 }
             };
-            if is_available && best.is_none_or(|(best_rank, ..)| rank < best_rank) {
-                let source = source.map(|source| source.address);
-                best = Some((rank, score, endpoint, prefill_tokens, source));
+            if is_available && best.as_ref().is_none_or(|best| rank < best.rank) {
+                best = Some(Candidate {
+                    rank,
+                    score,
+                    delay,
+                    endpoint,
+                    prefill_tokens,
+                    source: source.map(|source| source.address),
+                });
             }
         }
-        let best_rank = best.map_or(f64::INFINITY, |(rank, ..)| rank);
+        let best_rank = best.as_ref().map_or(f64::INFINITY, |best| best.rank);
         blocked.retain(|(rank, _)| *rank < best_rank);
         // One of them at random, so that the demand for permits is spread and equals the demand of callers.
         let passed_over = blocked
             .iter()
             .map(|(_, hash)| *hash)
             .min_by_key(|hash| affinity::mix(query.tie_breaker, *hash));
-        let Some((_, score, endpoint, prefill_tokens, source)) = best else {
+        let Some(best) = best else {
             return Err(self.selection_error(now, query, passed_over));
         };
-        // A specification of the engines may lead to a time that is out of range.
-        let expected = Duration::try_from_secs_f64(score / 1_000.0)
-            .map_or(MAX_EXPECTED_DELAY, |expected| {
-                expected.min(MAX_EXPECTED_DELAY)
-            });
-        if expected > query.time_left && !endpoint.is_uncertain(now) {
-            return Err(SelectionError::Late { expected });
+        let delay = expected_time(best.delay);
+        if delay > query.time_left && !best.endpoint.is_uncertain(now) {
+            return Err(SelectionError::Late { expected: delay });
         }
         Ok(Choice {
-            listed: endpoint.listed.clone(),
+            listed: best.endpoint.listed.clone(),
             prompt: query.prompt,
-            prefill_tokens,
+            prefill_tokens: best.prefill_tokens,
             unshared_tokens: query.prompt.saturating_sub(shared_tokens(query.parts)),
-            source,
-            expected,
+            source: best.source,
+            expected: expected_time(best.score),
             list_age: self
                 .list_time
                 .map_or(Duration::ZERO, |at| now.saturating_duration_since(at)),
@@ -808,6 +811,26 @@
     }
 }
 
+/// An endpoint that may be chosen.
+struct Candidate<'a> {
+    /// Orders the endpoints, in milliseconds: the score and what else speaks against the endpoint.
+    rank: f64,
+    /// Expected time to the first byte and its costs for other requests, in milliseconds.
+    score: f64,
+    /// Expected time to the first byte in milliseconds. Only this may lead to a refusal, since a preference
+    /// among endpoints does not make any of them late.
+    delay: f64,
+    endpoint: &'a Endpoint,
+    prefill_tokens: u32,
+    source: Option<SocketAddr>,
+}
+
+/// Returns a time of this many milliseconds, which a specification of the engines may put out of range.
+fn expected_time(ms: f64) -> Duration {
+    let time = Duration::try_from_secs_f64(ms / 1_000.0);
+    time.map_or(MAX_EXPECTED_DELAY, |time| time.min(MAX_EXPECTED_DELAY))
+}
+
 /// The status of an endpoint on the platform's list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListStatus {
--- a/lib/src/fleet_endpoint.rs
+++ b/lib/src/fleet_endpoint.rs
@@ -344,16 +344,23 @@
             delay += CROSS_ZONE_PENALTY_MS;
         }
         delay += FAILURE_PENALTY_MS * self.current_failure_score(now);
+        if self.is_silent(now) {
+            delay += SILENCE_PENALTY_MS;
+        }
+        delay
+    }
+
+    /// Returns the penalty, in milliseconds, for connections that the endpoint closed recently.
+    ///
+    /// It orders endpoints and is not part of the expected time: an endpoint that closes its connections answers
+    /// as soon as any other.
+    pub(crate) fn close_penalty(&self, now: Instant) -> f64 {
         let recent = |at: &&Instant| now.saturating_duration_since(**at) < CLOSE_WINDOW;
-        delay += match self.close_times.iter().filter(recent).count() {
+        match self.close_times.iter().filter(recent).count() {
             0 => 0.0,
             // A single closed connection also occurs at healthy endpoints.
             1 => SINGLE_CLOSE_PENALTY_MS,
             _ => REPEATED_CLOSE_PENALTY_MS,
-        };
-        if self.is_silent(now) {
-            delay += SILENCE_PENALTY_MS;
         }
-        delay
     }
 }
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -580,6 +580,52 @@
     );
 }
 
+/// Guards against requests that are refused beside idle endpoints, because what orders endpoints counts as time
+/// that their answers take.
+#[gtest]
+fn choose_preference_refuses_nothing() {
+    // Both endpoints have closed several connections.
+    let mut f = Fixture::new(&["a", "b"]);
+    for (id, other) in [("a", "b"), ("b", "a")] {
+        for _ in 0..4 {
+            let choice = f.try_choose(500, &[], &[other.into()]);
+            let choice = choice.expect("an endpoint");
+            let call_id = f.fleet.start(f.now, &choice, &[]);
+            f.fleet.record_close(f.now, call_id);
+            f.fleet.end(f.now, call_id, CallOutcome::Served);
+            expect_that!(choice.listed.id.as_str(), eq(id));
+        }
+    }
+    let in_time = EndpointQuery {
+        prompt: 500,
+        time_left: Duration::from_secs(2),
+        ..f.query()
+    };
+    expect_that!(f.fleet.choose(f.now, &in_time), ok(anything()));
+
+    // A long prompt meets an engine that is kept for short ones, and a shared part that is not cached.
+    let parts = [1, 2].map(|id| PromptPart { id, tokens: 4_000 });
+    let mut f = Fixture::new(&["a", "b"]);
+    f.total = ServiceLoad {
+        long: 1_000.0,
+        short: 1_000.0,
+        ..ServiceLoad::default()
+    };
+    for excluded in ["a", "b"] {
+        let excluded = [excluded.into()];
+        let choice = f.try_choose(8_000, &parts, &excluded);
+        let expected = choice.expect("an endpoint").expected;
+        let query = EndpointQuery {
+            prompt: 8_000,
+            parts: &parts,
+            excluded: &excluded,
+            time_left: expected - Duration::from_millis(20),
+            ..f.query()
+        };
+        expect_that!(f.fleet.choose(f.now, &query), ok(anything()));
+    }
+}
+
 #[gtest]
 fn choose_late_when_all_are_full() {
     let mut f = Fixture::new(&["a"]);
