Take the end of a body for what it is, not for an engine that leaves

What callers saw: all requests at some of the engines while others were idle. An engine whose answers end with their connection was avoided as one that is about to leave: it got 1 of 40 requests, which it should have got all.

Cause: 'Connection: close' counts as a sign that an endpoint leaves. In an answer without length and chunks it is the mark of the end.

closing_engine_not_avoided failed before (1 of 40) and passes now.

--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -529,7 +529,8 @@
         let endpoint = &guard.choice.listed.id;
         self.forwarder
             .record_limit(endpoint, guard.sent, &response_info, ran);
-        if answer.closes() {
+        // The end of the connection may also be the end of the body, which says nothing about the endpoint.
+        if answer.closes() && answer.delimiter != Delimiter::Close {
             fleet.record_close(now, guard.call_id);
         }
         drop(fleet);
