Break off a stream whose run may have been stopped for a move

What callers would see: a stream that ends with its connection and counts as complete, while its run was stopped in the middle to be moved. An engine that stops a run closes its stream between two events.

Cause: a stop call without an answer counted as a run that was not stopped, and so did a 503 that names no memory, although an engine stops a run before it looks for room.

The outcome of such a move is now unknown. The end of the connection is then no evidence; a length or a last chunk still is, since a stopped run gets neither. A resumable stream goes on, any other breaks off.

--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -35,6 +35,7 @@
 use crate::route_table::RetryPolicy;
 use crate::service_load::ServiceLoad;
 use crate::upstream;
+use crate::upstream::Delimiter;
 
 /// Time for which a complete stream waits for the outcome of a pending move, which arrives on another
 /// connection.
@@ -56,8 +57,18 @@
     DeadlinePassed,
 }
 
+/// Where a run continues after an attempt to move it.
+enum MoveEnd {
+    /// At its endpoint.
+    InPlace,
+    /// At its endpoint, unless that has stopped it.
+    Unknown,
+    /// Elsewhere, or at its endpoint from the copy of the stopped run.
+    Moved(Box<MovedRun>),
+}
+
 /// A move of a run to another endpoint that is in progress.
-type PendingMove = Pin<Box<dyn Future<Output = Option<MovedRun>> + Send>>;
+type PendingMove = Pin<Box<dyn Future<Output = MoveEnd> + Send>>;
 
 impl Job {
     /// Relays a stream until it is complete or cannot be continued, which breaks the response off.
@@ -150,6 +161,7 @@
         let mut is_watching = is_movable;
         let mut pending_move: Option<PendingMove> = None;
         let mut moved = None;
+        let mut may_be_stopped = false;
         let mut chunk = started.first.take();
         let stall_timeout = match is_resumable {
             true => self.stall_timeout(&started.guard.choice, self.attempts),
@@ -216,7 +228,11 @@
                     }
                     outcome = wait_for_move(&mut pending_move), if pending_move.is_some() => {
                         pending_move = None;
-                        moved = outcome;
+                        match outcome {
+                            MoveEnd::InPlace => {}
+                            MoveEnd::Unknown => may_be_stopped = true,
+                            MoveEnd::Moved(run) => moved = Some(run),
+                        }
                         is_watching = moved.is_none();
                     }
                 }
@@ -230,8 +246,9 @@
                 _ => {}
             }
             if pending_move.is_some() {
+                let is_marked = started.answer.delimiter != Delimiter::Close;
                 let timeout = match next {
-                    Ok(Ok(_)) if !framer.is_partial() => MOVE_OUTCOME_TIMEOUT,
+                    Ok(Ok(_)) if is_marked && !framer.is_partial() => MOVE_OUTCOME_TIMEOUT,
                     // The engine broke off, probably because it was told to stop the run. It still copies
                     // what has changed, and only the outcome tells where the stream continues.
                     _ => COPY_TIMEOUT,
@@ -240,26 +257,35 @@
                     timeout.min(self.time_left()),
                     wait_for_move(&mut pending_move),
                 );
-                moved = tokio::select! {
+                let outcome = tokio::select! {
                     outcome = wait => outcome.unwrap_or_else(|_| {
-                        // The run is assumed not to have been stopped.
                         tracing::info!(
                             request = self.info.id,
                             "timed out waiting for the outcome of a move"
                         );
-                        None
+                        MoveEnd::Unknown
                     }),
                     () = sender.closed() => return RelayEnd::Disconnected,
                 };
+                match outcome {
+                    MoveEnd::InPlace => {}
+                    MoveEnd::Unknown => may_be_stopped = true,
+                    MoveEnd::Moved(run) => moved = Some(run),
+                }
             }
             if let Some(moved) = moved {
-                return RelayEnd::Moved(Box::new(moved));
+                return RelayEnd::Moved(moved);
             }
             return match next {
                 Ok(Ok(_)) if !self.is_complete(&started.answer, framer) => {
                     self.log_interruption(&started.guard, &"the stream ended within an event");
                     RelayEnd::Broken
                 }
+                // An engine that stops a run closes its stream between two events.
+                Ok(Ok(_)) if may_be_stopped && started.answer.delimiter == Delimiter::Close => {
+                    self.log_interruption(&started.guard, &"the run may have been stopped");
+                    RelayEnd::Broken
+                }
                 Ok(Ok(_)) => {
                     let remainder = framer.take_partial();
                     match remainder.is_empty() || sender.send(remainder).await.is_ok() {
@@ -334,20 +360,17 @@
                 outcome = %move_outcome,
                 "endpoint leaves, run moved"
             );
-            let copy = copy?;
-            match move_outcome {
-                MoveOutcome::Elsewhere => Some(MovedRun {
-                    guard,
-                    copy: Some(copy),
-                    origin: Some(source),
-                }),
-                MoveOutcome::Resumed => Some(MovedRun {
-                    guard: CallGuard::start(&forwarder, fingerprint, source),
-                    copy: Some(copy),
-                    origin: None,
-                }),
-                MoveOutcome::InPlace => None,
-            }
+            let (guard, origin) = match move_outcome {
+                MoveOutcome::Elsewhere => (guard, Some(source)),
+                MoveOutcome::Resumed => (CallGuard::start(&forwarder, fingerprint, source), None),
+                MoveOutcome::Unknown => return MoveEnd::Unknown,
+                MoveOutcome::InPlace => return MoveEnd::InPlace,
+            };
+            MoveEnd::Moved(Box::new(MovedRun {
+                guard,
+                copy,
+                origin,
+            }))
         }))
     }
 
@@ -410,10 +433,10 @@
     }
 }
 
-/// Waits for the outcome of a pending move; returns `None` if the run was not moved.
-async fn wait_for_move(pending_move: &mut Option<PendingMove>) -> Option<MovedRun> {
+/// Waits for the outcome of a pending move.
+async fn wait_for_move(pending_move: &mut Option<PendingMove>) -> MoveEnd {
     match pending_move {
         Some(pending_move) => pending_move.await,
-        None => None,
+        None => MoveEnd::InPlace,
     }
 }
--- a/lib/src/hand_over.rs
+++ b/lib/src/hand_over.rs
@@ -31,9 +31,12 @@
     /// At the engine that received the copy.
     #[display("elsewhere")]
     Elsewhere,
-    /// At its engine, since it was not stopped or the outcome of the stop is unknown.
+    /// At its engine, since it was not stopped.
     #[display("in place")]
     InPlace,
+    /// At its engine, unless the engine has stopped it: the call that was to stop it got no answer.
+    #[display("unknown")]
+    Unknown,
     /// At its engine, where it was stopped, from the state that the engine still holds.
     #[display("resumed in place")]
     Resumed,
@@ -46,6 +49,10 @@
         (CopyAnswer::Made { .. }, Some(CopyAnswer::NoRoom { handle: Some(_) })) => {
             MoveOutcome::Resumed
         }
+        // The engine stops the run before it looks for room.
+        (CopyAnswer::Made { .. }, Some(CopyAnswer::NoRoom { handle: None })) => {
+            MoveOutcome::Unknown
+        }
         _ => MoveOutcome::InPlace,
     }
 }
@@ -63,9 +70,15 @@
 impl RunCopier<'_> {
     /// Copies the run to another engine and stops it; returns where it continues, and from which copy.
     pub(crate) async fn hand_over(&self, to: SocketAddr) -> (MoveOutcome, Option<RunCopy>) {
-        let first = self.copy(to, false).await;
+        let Some(first) = self.copy(to, false).await else {
+            return (MoveOutcome::InPlace, None);
+        };
         let stop = match &first {
-            CopyAnswer::Made { .. } => Some(self.copy(to, true).await),
+            CopyAnswer::Made { .. } => match self.copy(to, true).await {
+                // The copy is kept, since the run may have been stopped.
+                None => return (MoveOutcome::Unknown, None),
+                stop => stop,
+            },
             _ => None,
         };
         let place = place(&first, stop.as_ref());
@@ -87,7 +100,8 @@
         (place, copy)
     }
 
-    async fn copy(&self, to: SocketAddr, stops: bool) -> CopyAnswer {
+    /// Calls the engine to copy the run; returns `None` if no readable answer arrives in time.
+    async fn copy(&self, to: SocketAddr, stops: bool) -> Option<CopyAnswer> {
         let call = self.dialect.copy_call(self.id, to, stops);
         let answer = fair_timeout(COPY_TIMEOUT, self.send(call)).await;
         let answer = answer.unwrap_or_else(|_| Err("no answer in time".to_owned()));
@@ -95,10 +109,11 @@
             let answer = self.dialect.copy_answer(status, &body);
             answer.map_err(|error| error.to_string())
         });
-        answer.unwrap_or_else(|error| {
-            tracing::info!(request = self.id, engine = %self.source, %error, "cannot copy the run");
-            CopyAnswer::NoRun
-        })
+        answer
+            .inspect_err(|error| {
+                tracing::info!(request = self.id, engine = %self.source, stops, %error, "cannot copy the run");
+            })
+            .ok()
     }
 
     /// Frees a copy that is not used.
--- a/lib/tests/test_hand_over.rs
+++ b/lib/tests/test_hand_over.rs
@@ -29,7 +29,7 @@
     };
     expect_that!(place(&made(), Some(&held)), eq(MoveOutcome::Resumed));
     let lost = CopyAnswer::NoRoom { handle: None };
-    expect_that!(place(&made(), Some(&lost)), eq(MoveOutcome::InPlace));
+    expect_that!(place(&made(), Some(&lost)), eq(MoveOutcome::Unknown));
 }
 
 /// Guards against a move of a run that ended between the two calls.
