Reset the connection of a caller without chunks if its response breaks off

What callers would see: a caller of HTTP/1.0 gets a stream that broke off and that ends like a whole one. It knows no chunks, so the end of the connection is its only mark.

Cause: a response that fails closes its connection in order, and the missing last chunk tells callers of HTTP/1.1 only. The same holds for responses that the end of a stop cuts.

The server now resets such a connection. Bytes that the caller has not read are lost with it, which it cannot avoid: there is no other sign.

--- a/lib/src/server.rs
+++ b/lib/src/server.rs
@@ -9,6 +9,7 @@
 use std::net::TcpListener;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::task::Context;
@@ -18,6 +19,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use http::Version;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -33,6 +35,8 @@
 use tokio::sync::watch;
 use tokio::time::Sleep;
 
+use crate::shared_stream::SharedStream;
+
 /// Timeouts of a server's connections.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -288,15 +292,19 @@
 
 async fn serve<S: Service>(stream: TcpStream, service: Arc<S>, mut phase: watch::Receiver<Phase>) {
     let limits = service.limits();
+    let stream = SharedStream::new(stream);
     let socket = Socket {
-        stream,
+        stream: stream.clone(),
         stall_timer: None,
         limit: limits.write_timeout,
         bad_request_body: service.bad_request_body(),
         replacement: None,
     };
+    let knows_chunks = Arc::new(AtomicBool::new(true));
+    let knows_chunks_now = knows_chunks.clone();
     let handler = service_fn(move |request: Request| {
         let service = service.clone();
+        knows_chunks_now.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
         async move { service.call(request).await }
     });
     let connection = http1::Builder::new()
@@ -308,7 +316,12 @@
     let mut is_phase_open = true;
     loop {
         tokio::select! {
-            _ = connection.as_mut() => return,
+            result = connection.as_mut() => {
+                if result.is_err() {
+                    break;
+                }
+                return;
+            }
             changed = phase.changed(), if is_phase_open => {
                 is_phase_open = changed.is_ok();
                 let now = *phase.borrow_and_update();
@@ -323,11 +336,15 @@
                         }
                     }
                     Phase::Serving => {}
-                    Phase::Aborted => return,
+                    Phase::Aborted => break,
                 }
             }
         }
     }
+    // Without chunks, only a reset tells the peer that the response is not complete.
+    if !knows_chunks.load(Ordering::Relaxed) {
+        stream.reset_on_close();
+    }
 }
 
 /// A socket that bounds the time for which the peer leaves sent bytes unread.
@@ -335,7 +352,7 @@
 /// hyper responds to a head that it cannot parse with an empty body. This socket replaces that response
 /// with one that has the service's own body, so that it carries a result code like all others.
 struct Socket {
-    stream: TcpStream,
+    stream: SharedStream,
     limit: Duration,
     stall_timer: Option<Pin<Box<Sleep>>>,
     bad_request_body: Vec<u8>,
--- a/lib/src/shared_stream.rs
+++ b/lib/src/shared_stream.rs
@@ -8,6 +8,7 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
+use std::time::Duration;
 
 use socket2::SockRef;
 use tokio::io::AsyncRead;
@@ -24,6 +25,13 @@
         Self(Arc::new(stream))
     }
 
+    /// Resets the connection when the stream closes, instead of ending it in order.
+    pub(crate) fn reset_on_close(&self) {
+        if let Err(error) = SockRef::from(&*self.0).set_linger(Some(Duration::ZERO)) {
+            tracing::warn!(%error, "cannot reset a connection");
+        }
+    }
+
     /// Returns whether the stream is open and no received bytes wait to be read.
     ///
     /// This asks the operating system, as an event loop learns of bytes and of the peer's end only when it
