Ask an endpoint whose connection ended whether it still runs

What callers would see: a 200 that counts as complete, of an engine that crashed while it wrote an answer without length and chunks, between two events or anywhere in a plain body.

Cause: a process that crashes closes its connections in order, which is the only mark of the end of such an answer. The crash shows a moment later, when connections are refused.

An endpoint that is known to leave is not asked, since it may end right after its last answer. Whoever refuses connections has crashed, so the call counts as interrupted, and repeatable requests and resumable streams go on elsewhere.

--- a/lib/src/forward_crash.rs
+++ b/lib/src/forward_crash.rs
@@ -75,6 +75,17 @@
         }
     }
 
+    /// Returns whether an endpoint whose connection ended in order is still running, or may end because it leaves.
+    ///
+    /// A process that crashes closes its connections in order as well.
+    pub(crate) async fn is_running(&self, listed: &ListedEndpoint) -> bool {
+        if self.fleet().list_status(&listed.id) == ListStatus::Leaving {
+            return true;
+        }
+        tokio::time::sleep(FIRST_PROBE_DELAY).await;
+        upstream::probe(listed.address).await != ConnectOutcome::Refused
+    }
+
     /// Records an interrupted call, and starts to probe the endpoint if it is not known to have crashed.
     fn record_interruption(self: &Arc<Self>, listed: &ListedEndpoint, fingerprint: Fingerprint) {
         // The exit of an endpoint that was about to stop is not a crash.
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -633,6 +633,9 @@
             Ok(Ok(true)) if is_cut_stream(&answer, self.route.retry_policy, &buffered) => {
                 Ok(Err(io::Error::other("the stream ended within an event")))
             }
+            Ok(Ok(true)) if !self.is_end_confirmed(answer.delimiter, &guard).await => {
+                Ok(Err(io::Error::other("the endpoint has ended")))
+            }
             other => other,
         };
         match read_all {
@@ -668,6 +671,11 @@
         }
     }
 
+    /// Returns whether the endpoint of a body that ended in order confirms that it is complete.
+    pub(crate) async fn is_end_confirmed(&self, end: Delimiter, guard: &CallGuard) -> bool {
+        end != Delimiter::Close || self.forwarder.is_running(&guard.choice.listed).await
+    }
+
     /// Streams a response to the caller.
     fn stream(mut self, started: StartedResponse) -> Response {
         self.stream = StreamHead::of(&started.answer, self.route.retry_policy);
--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -286,6 +286,14 @@
                     self.log_interruption(&started.guard, &"the run may have been stopped");
                     RelayEnd::Broken
                 }
+                Ok(Ok(_))
+                    if !self
+                        .is_end_confirmed(started.answer.delimiter, &started.guard)
+                        .await =>
+                {
+                    self.log_interruption(&started.guard, &"the endpoint has ended");
+                    RelayEnd::Broken
+                }
                 Ok(Ok(_)) => {
                     let remainder = framer.take_partial();
                     match remainder.is_empty() || sender.send(remainder).await.is_ok() {
