Note which prompt parts were in flight at a crash

The line 'an endpoint ended under requests' now names the shared parts of the prompts in flight, at most 16, as keyed hashes, and notes about them go to the leader with those about the requests. No decision uses them yet.

--- a/lib/src/crash_detector.rs
+++ b/lib/src/crash_detector.rs
@@ -13,7 +13,7 @@
 use crate::affinity;
 use crate::crash_note::CrashEvent;
 use crate::crash_note::CrashNote;
-use crate::fingerprint::Fingerprint;
+use crate::fingerprint::RequestPrints;
 use crate::ids::EndpointId;
 
 /// Time for which an interrupted call waits for evidence; the platform's list drops an endpoint some seconds
@@ -33,7 +33,7 @@
     /// Time of the first interrupted call.
     first_at: Instant,
     /// Fingerprints of the calls and the times of their interruption.
-    calls: Vec<(Fingerprint, Instant)>,
+    calls: Vec<(RequestPrints, Instant)>,
     /// Time at which the crash was detected, if there was one.
     crashed_at: Option<Instant>,
 }
@@ -45,8 +45,8 @@
     Probe,
     /// Do nothing, since the endpoint is being probed already.
     Wait,
-    /// Report the note, since the endpoint is known to have crashed.
-    Report(CrashNote),
+    /// Report the notes, since the endpoint is known to have crashed.
+    Report(Vec<CrashNote>),
 }
 
 /// Interrupted calls by endpoint.
@@ -61,21 +61,21 @@
         &mut self,
         now: Instant,
         endpoint: &EndpointId,
-        fingerprint: Fingerprint,
+        prints: &RequestPrints,
     ) -> InterruptionAction {
         self.expire(now);
         if let Some(known) = self.interruptions.get_mut(endpoint) {
             if known.crashed_at.is_some() {
-                return InterruptionAction::Report(note(now, now, endpoint, fingerprint));
+                return InterruptionAction::Report(notes(endpoint, prints, Duration::ZERO));
             }
             if known.calls.len() < MAX_PENDING_CALLS {
-                known.calls.push((fingerprint, now));
+                known.calls.push((prints.clone(), now));
             }
             return InterruptionAction::Wait;
         }
         let first = Interruptions {
             first_at: now,
-            calls: vec![(fingerprint, now)],
+            calls: vec![(prints.clone(), now)],
             crashed_at: None,
         };
         self.interruptions.insert(endpoint.clone(), first);
@@ -88,13 +88,14 @@
             return Vec::new();
         };
         known.crashed_at.get_or_insert(now);
-        let mut calls = std::mem::take(&mut known.calls);
-        calls.sort_by_key(|(fingerprint, _)| *fingerprint);
-        calls.dedup_by_key(|(fingerprint, _)| *fingerprint);
-        let notes = calls.into_iter();
+        let calls = std::mem::take(&mut known.calls);
+        let mut notes: Vec<_> = calls
+            .iter()
+            .flat_map(|(prints, at)| notes(endpoint, prints, now.saturating_duration_since(*at)))
+            .collect();
+        notes.sort_by_key(|note| note.fingerprint);
+        notes.dedup_by_key(|note| note.fingerprint);
         notes
-            .map(|(fingerprint, at)| note(now, at, endpoint, fingerprint))
-            .collect()
     }
 
     /// Records that an endpoint is still running, so that its calls were interrupted for another reason.
@@ -117,12 +118,18 @@
     }
 }
 
-fn note(now: Instant, at: Instant, endpoint: &EndpointId, fingerprint: Fingerprint) -> CrashNote {
-    CrashNote {
-        fingerprint,
-        event: CrashEvent::Crash {
-            endpoint: affinity::hash_name(endpoint.as_str()),
-        },
-        age: now.saturating_duration_since(at),
-    }
+/// Returns the notes about a request that was in flight at a crash, and about the parts of its prompt.
+fn notes(endpoint: &EndpointId, prints: &RequestPrints, age: Duration) -> Vec<CrashNote> {
+    let endpoint = affinity::hash_name(endpoint.as_str());
+    let request = (prints.request, CrashEvent::Crash { endpoint });
+    let parts = prints.parts.iter();
+    let parts = parts.map(|part| (*part, CrashEvent::PartCrash { endpoint }));
+    std::iter::once(request)
+        .chain(parts)
+        .map(|(fingerprint, event)| CrashNote {
+            fingerprint,
+            event,
+            age,
+        })
+        .collect()
 }
--- a/lib/src/crash_note.rs
+++ b/lib/src/crash_note.rs
@@ -38,13 +38,20 @@
     },
     /// An endpoint answered the request and kept running.
     Answer,
+    /// A request whose prompt has the part was in flight at an endpoint that crashed.
+    PartCrash {
+        /// Hash of the endpoint's name.
+        endpoint: u64,
+    },
+    /// An endpoint answered a request whose prompt has the part completely.
+    PartAnswer,
 }
 
-/// What happened to a request, and how long ago.
+/// What happened to a request or a part of prompts, and how long ago.
 #[serde_as]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashNote {
-    /// Fingerprint of the request.
+    /// Fingerprint of the request or the part.
     pub fingerprint: Fingerprint,
     /// What happened.
     pub event: CrashEvent,
--- a/lib/src/crash_records.rs
+++ b/lib/src/crash_records.rs
@@ -169,6 +169,8 @@
                 }
                 self.evict();
             }
+            // See `crate::part_records`.
+            CrashEvent::PartCrash { .. } | CrashEvent::PartAnswer => {}
         }
     }
 
--- a/lib/src/crash_tracker.rs
+++ b/lib/src/crash_tracker.rs
@@ -18,6 +18,7 @@
 use crate::crash_records::CRASH_LIMIT;
 use crate::crash_records::CrashRecords;
 use crate::fingerprint::Fingerprint;
+use crate::fingerprint::RequestPrints;
 use crate::ids::EndpointId;
 
 /// Time for which a response is remembered, so that it can clear a request that is quarantined afterwards; a
@@ -54,13 +55,13 @@
         &mut self,
         now: Instant,
         endpoint: &EndpointId,
-        fingerprint: Fingerprint,
+        prints: &RequestPrints,
     ) -> InterruptionAction {
-        let action = self
-            .detector
-            .record_interruption(now, endpoint, fingerprint);
-        if let InterruptionAction::Report(note) = &action {
-            self.records.add(now, note);
+        let action = self.detector.record_interruption(now, endpoint, prints);
+        if let InterruptionAction::Report(notes) = &action {
+            for note in notes {
+                self.records.add(now, note);
+            }
         }
         action
     }
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -33,6 +33,7 @@
 use crate::dialect::Dialect;
 use crate::dialect::RequestInfo;
 use crate::fingerprint::Fingerprinter;
+use crate::fingerprint::RequestPrints;
 use crate::fleet::Fleet;
 use crate::forward_crash::QUARANTINE_TIME;
 use crate::forward_job::Job;
@@ -338,16 +339,16 @@
             || head.uri.path().to_owned(),
             |target| target.as_str().to_owned(),
         );
-        let fingerprint = self.settings.fingerprinter.fingerprint(
-            workspace.as_ref(),
-            head.method.as_str(),
-            &target,
-            &body,
-        );
-        if self.is_quarantined(fingerprint) {
+        let fingerprinter = &self.settings.fingerprinter;
+        let method = head.method.as_str();
+        let prints = RequestPrints {
+            request: fingerprinter.fingerprint(workspace.as_ref(), method, &target, &body),
+            parts: fingerprinter.shared_parts(&info.parts),
+        };
+        if self.is_quarantined(&prints) {
             tracing::info!(
                 request = info.id,
-                print = %fingerprint,
+                print = %prints.request,
                 "request is quarantined because endpoints crashed under it"
             );
             return Err(with_id(Refusal {
@@ -364,7 +365,7 @@
             headers: end_to_end_headers(&head.headers),
             method: head.method,
             target,
-            fingerprint,
+            prints,
             body,
             info,
             route,
--- a/lib/src/forward_call.rs
+++ b/lib/src/forward_call.rs
@@ -7,7 +7,7 @@
 
 use crate::dialect::RequestRate;
 use crate::dialect::RunCopy;
-use crate::fingerprint::Fingerprint;
+use crate::fingerprint::RequestPrints;
 use crate::fleet::CallId;
 use crate::fleet::CallOutcome;
 use crate::fleet::Choice;
@@ -38,7 +38,7 @@
 /// Guard of a call to an endpoint, which records the end of the call exactly once.
 pub(crate) struct CallGuard {
     forwarder: Arc<Forwarder>,
-    fingerprint: Fingerprint,
+    prints: RequestPrints,
     pub call_id: CallId,
     pub choice: Choice,
     /// Time at which the call was started.
@@ -53,13 +53,13 @@
     /// Creates the guard of a call that the fleet has registered as `call_id`.
     pub(crate) fn new(
         forwarder: &Arc<Forwarder>,
-        fingerprint: Fingerprint,
+        prints: &RequestPrints,
         choice: Choice,
         call_id: CallId,
     ) -> Self {
         Self {
             forwarder: forwarder.clone(),
-            fingerprint,
+            prints: prints.clone(),
             call_id,
             choice,
             sent: forwarder.settings.clock.now(),
@@ -71,13 +71,13 @@
     /// Registers a run that continues at an endpoint with the fleet and returns its guard.
     pub(crate) fn start(
         forwarder: &Arc<Forwarder>,
-        fingerprint: Fingerprint,
+        prints: &RequestPrints,
         choice: Choice,
     ) -> Self {
         let now = forwarder.settings.clock.now();
         let call_id = forwarder.fleet().start(now, &choice, &[]);
         forwarder.charge_permit(now, &choice.listed.id);
-        Self::new(forwarder, fingerprint, choice, call_id)
+        Self::new(forwarder, prints, choice, call_id)
     }
 
     /// Records the outcome of the call; later calls have no effect.
@@ -86,7 +86,7 @@
             let now = self.forwarder.settings.clock.now();
             self.forwarder.fleet().end(now, self.call_id, outcome);
             self.forwarder
-                .record_outcome(&self.choice.listed, self.fingerprint, outcome);
+                .record_outcome(&self.choice.listed, &self.prints, outcome);
         }
     }
 
@@ -95,7 +95,7 @@
         let ended = std::mem::replace(&mut self.ended, true);
         Self {
             forwarder: self.forwarder.clone(),
-            fingerprint: self.fingerprint,
+            prints: self.prints.clone(),
             call_id: self.call_id,
             choice: self.choice.clone(),
             sent: self.sent,
--- a/lib/src/forward_crash.rs
+++ b/lib/src/forward_crash.rs
@@ -9,10 +9,11 @@
 
 use crate::control::Control;
 use crate::crash_detector::InterruptionAction;
+use crate::crash_note::CrashEvent;
 use crate::crash_note::CrashNote;
 use crate::crash_tracker::Permit;
 use crate::dialect::ListedEndpoint;
-use crate::fingerprint::Fingerprint;
+use crate::fingerprint::RequestPrints;
 use crate::fleet::CallOutcome;
 use crate::fleet::ListStatus;
 use crate::forward::Forwarder;
@@ -30,6 +31,9 @@
 /// Interval between further probes of an endpoint that does not respond.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Maximum number of prompt parts that the log names for a crash.
+const MAX_LOGGED_PARTS: usize = 16;
+
 /// Evidence that an endpoint has crashed.
 #[derive(Clone, Copy, Debug, derive_more::Display)]
 #[display(rename_all = "lowercase")]
@@ -44,10 +48,10 @@
 
 impl Forwarder {
     /// Returns whether a request must not be sent to endpoints because it crashes them.
-    pub(crate) fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
+    pub(crate) fn is_quarantined(&self, prints: &RequestPrints) -> bool {
         let now = self.settings.clock.now();
-        let suspicion = self.settings.control.suspicion(fingerprint.0);
-        match self.crash_tracker().permit(now, fingerprint, suspicion) {
+        let suspicion = self.settings.control.suspicion(prints.request.0);
+        match self.crash_tracker().permit(now, prints.request, suspicion) {
             Permit::Granted => false,
             Permit::Denied(note) => {
                 self.share_notes(note.as_slice());
@@ -60,16 +64,16 @@
     pub(crate) fn record_outcome(
         self: &Arc<Self>,
         listed: &ListedEndpoint,
-        fingerprint: Fingerprint,
+        prints: &RequestPrints,
         outcome: CallOutcome,
     ) {
         let now = self.settings.clock.now();
         match outcome {
             CallOutcome::Served | CallOutcome::Failed => {
-                let note = self.crash_tracker().answered(now, fingerprint);
+                let note = self.crash_tracker().answered(now, prints.request);
                 self.share_notes(note.as_slice());
             }
-            CallOutcome::Broken => self.record_interruption(listed, fingerprint),
+            CallOutcome::Broken => self.record_interruption(listed, prints),
             CallOutcome::Replaced => self.record_crash(listed, Evidence::Replaced),
             CallOutcome::Refused | CallOutcome::Unreachable | CallOutcome::Cancelled => {}
         }
@@ -87,7 +91,7 @@
     }
 
     /// Records an interrupted call, and starts to probe the endpoint if it is not known to have crashed.
-    fn record_interruption(self: &Arc<Self>, listed: &ListedEndpoint, fingerprint: Fingerprint) {
+    fn record_interruption(self: &Arc<Self>, listed: &ListedEndpoint, prints: &RequestPrints) {
         // The exit of an endpoint that was about to stop is not a crash.
         if self.fleet().list_status(&listed.id) == ListStatus::Leaving {
             return;
@@ -95,13 +99,13 @@
         let now = self.settings.clock.now();
         let action = self
             .crash_tracker()
-            .record_interruption(now, &listed.id, fingerprint);
+            .record_interruption(now, &listed.id, prints);
         match action {
             InterruptionAction::Probe => {
                 tokio::spawn(self.clone().probe_until_known(listed.clone()));
             }
             InterruptionAction::Wait => {}
-            InterruptionAction::Report(note) => self.share_notes(&[note]),
+            InterruptionAction::Report(notes) => self.share_notes(&notes),
         }
     }
 
@@ -134,11 +138,20 @@
         if notes.is_empty() {
             return;
         }
+        let prints = |is_part: bool| {
+            let is_kind = move |note: &&CrashNote| {
+                is_part == matches!(note.event, CrashEvent::PartCrash { .. })
+            };
+            notes.iter().filter(is_kind).map(|note| note.fingerprint)
+        };
+        let parts = prints(true).take(MAX_LOGGED_PARTS);
+        let parts: Vec<_> = parts.map(|part| part.to_string()).collect();
         tracing::warn!(
             endpoint = %listed.id,
             service = %listed.service,
             %evidence,
-            requests = notes.len(),
+            requests = prints(false).count(),
+            parts = parts.join(" "),
             "an endpoint ended under requests"
         );
         self.settings.metrics.crashed(&listed.service);
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -24,7 +24,7 @@
 use crate::dialect::RequestRate;
 use crate::dialect::RunCopy;
 use crate::event_framer::EventFramer;
-use crate::fingerprint::Fingerprint;
+use crate::fingerprint::RequestPrints;
 use crate::fleet;
 use crate::fleet::CallId;
 use crate::fleet::CallOutcome;
@@ -138,8 +138,8 @@
     pub method: http::Method,
     /// Path and query.
     pub target: String,
-    /// Fingerprint, which is the same each time the caller sends the request.
-    pub fingerprint: Fingerprint,
+    /// Fingerprints, which are the same each time the caller sends the request.
+    pub prints: RequestPrints,
     pub headers: HeaderMap,
     pub body: Bytes,
     pub info: RequestInfo,
@@ -245,7 +245,7 @@
         ) == RetryDecision::Retry
             && self.connect_failures <= MAX_CONNECT_FAILURES
             && self.time_left() > MIN_ATTEMPT_TIME
-            && !self.forwarder.is_quarantined(self.fingerprint)
+            && !self.forwarder.is_quarantined(&self.prints)
             && (!reached || self.forwarder.spend_retry(&self.service, chance))
     }
 
@@ -336,9 +336,8 @@
                 retry: Some(retry.mul_f64(jitter)),
             }
         });
-        chosen.map(|(choice, call_id)| {
-            CallGuard::new(&self.forwarder, self.fingerprint, choice, call_id)
-        })
+        chosen
+            .map(|(choice, call_id)| CallGuard::new(&self.forwarder, &self.prints, choice, call_id))
     }
 
     /// Returns the time in which an instance gets one permit on average, if endpoints limit the requests of
@@ -422,7 +421,7 @@
         }
         tracing::info!(
             request = self.info.id,
-            print = %self.fingerprint,
+            print = %self.prints.request,
             route = %self.route.id,
             revision = self.revision,
             service = %self.service,
@@ -448,7 +447,7 @@
         metrics.ended(&self.service, "broken off");
         tracing::info!(
             request = self.info.id,
-            print = %self.fingerprint,
+            print = %self.prints.request,
             service = %self.service,
             endpoint = %guard.choice.listed.id,
             attempt = self.attempts,
--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -347,10 +347,13 @@
             (choice.prefill_tokens, choice.unshared_tokens, choice.source) = (0, 0, None);
             let call_id = fleet.start(now, &choice, &self.info.parts);
             drop(fleet);
-            CallGuard::new(&forwarder, self.fingerprint, choice, call_id)
+            CallGuard::new(&forwarder, &self.prints, choice, call_id)
         };
-        let (client, id, fingerprint) =
-            (self.client.clone(), self.info.id.clone(), self.fingerprint);
+        let (client, id, prints) = (
+            self.client.clone(),
+            self.info.id.clone(),
+            self.prints.clone(),
+        );
         Some(Box::pin(async move {
             let dialect = forwarder.settings.dialect.clone();
             let copier = RunCopier {
@@ -370,7 +373,7 @@
             );
             let (guard, origin) = match move_outcome {
                 MoveOutcome::Elsewhere => (guard, Some(source)),
-                MoveOutcome::Resumed => (CallGuard::start(&forwarder, fingerprint, source), None),
+                MoveOutcome::Resumed => (CallGuard::start(&forwarder, &prints, source), None),
                 MoveOutcome::Unknown => return MoveEnd::Unknown,
                 MoveOutcome::InPlace => return MoveEnd::InPlace,
             };
@@ -431,7 +434,7 @@
                     "the run returns to its endpoint"
                 );
                 moved = Some(MovedRun {
-                    guard: CallGuard::start(&self.forwarder, self.fingerprint, origin),
+                    guard: CallGuard::start(&self.forwarder, &self.prints, origin),
                     copy,
                     origin: None,
                 });
--- a/lib/src/forward_stall.rs
+++ b/lib/src/forward_stall.rs
@@ -163,7 +163,7 @@
         drop(fleet);
         Some(CallGuard::new(
             &self.forwarder,
-            self.fingerprint,
+            &self.prints,
             choice,
             call_id,
         ))
