Tell a newer answer to a request of which one was told before

What callers would see: a popular request is refused with 1305 although it was answered after its crashes.

Cause: an instance and a relay told each event about a request once in 60 s, and all its answers are one event. After the first answer, which clears the crashes before it, later ones were dropped as known, so crashes after it added up.

The newest answer counts, so one that is 250 ms newer than the last is told as well.

due_newer_answer failed before and passes now.

--- a/lib/src/crash_note.rs
+++ b/lib/src/crash_note.rs
@@ -5,7 +5,7 @@
 //! no note is lost with a relay or a leader, and the leader does not have to write each note to its log. A
 //! note that is received twice counts once ([`crate::crash_records`]). See `docs/design.md`, section 6.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -28,6 +28,9 @@
 /// that poll it, an eighth of a fleet: a quarter of the 64 slots of each of 500 engines.
 const MAX_KEPT_NOTES: usize = 8_192;
 
+/// Minimum time between answers to one request or part that are told.
+const ANSWER_INTERVAL: Duration = Duration::from_millis(250);
+
 /// What happened to a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum CrashEvent {
@@ -47,6 +50,13 @@
     PartAnswer,
 }
 
+impl CrashEvent {
+    /// Returns whether the event clears what it is about, so that the newest one counts.
+    fn is_answer(self) -> bool {
+        matches!(self, Self::Answer | Self::PartAnswer)
+    }
+}
+
 /// What happened to a request or a part of prompts, and how long ago.
 #[serde_as]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -74,8 +84,8 @@
 pub struct NoteOutbox {
     /// Notes with the times of their events, in the order in which they were added.
     kept: VecDeque<(Instant, Fingerprint, CrashEvent)>,
-    /// Events of the notes that are kept.
-    known: HashSet<(Fingerprint, CrashEvent)>,
+    /// Events of the notes that are kept, and the time of the newest one of each kind.
+    known: HashMap<(Fingerprint, CrashEvent), Instant>,
     /// Sequence number of the first note that is kept.
     first: u64,
     /// Current upstream and the sequence number of the first note that it has not accepted.
@@ -86,10 +96,16 @@
     /// Adds a note and returns whether it is new.
     pub fn push(&mut self, now: Instant, note: &CrashNote) -> bool {
         self.expire(now);
-        if !self.known.insert((note.fingerprint, note.event)) {
+        let at = now.checked_sub(note.age).unwrap_or(now);
+        let key = (note.fingerprint, note.event);
+        let is_known = self.known.get(&key).is_some_and(|known| {
+            let is_newer = at.saturating_duration_since(*known) >= ANSWER_INTERVAL;
+            !(note.event.is_answer() && is_newer)
+        });
+        if is_known {
             return false;
         }
-        let at = now.checked_sub(note.age).unwrap_or(now);
+        self.known.insert(key, at);
         self.kept.push_back((at, note.fingerprint, note.event));
         while self.kept.len() > MAX_KEPT_NOTES {
             self.pop_oldest();
@@ -133,8 +149,11 @@
     }
 
     fn pop_oldest(&mut self) {
-        if let Some((_, fingerprint, event)) = self.kept.pop_front() {
-            self.known.remove(&(fingerprint, event));
+        if let Some((at, fingerprint, event)) = self.kept.pop_front() {
+            let key = (fingerprint, event);
+            if self.known.get(&key) == Some(&at) {
+                self.known.remove(&key);
+            }
             self.first += 1;
         }
     }
--- a/lib/tests/test_crash_records.rs
+++ b/lib/tests/test_crash_records.rs
@@ -199,6 +199,28 @@
     expect_that!(outbox.due(start + NOTE_TTL, first).0.len(), eq(1));
 }
 
+/// Guards against a popular request that is quarantined although it was answered since its crashes, because an
+/// earlier answer to it has been told already.
+#[gtest]
+fn due_newer_answer() {
+    let start = Instant::now();
+    let to = upstream(1, 1);
+    let mut outbox = NoteOutbox::default();
+    expect_true!(outbox.push(start, &answer(1, Duration::ZERO)));
+    let (_, next) = outbox.due(start, to);
+    outbox.accepted(to, next);
+    // Answers in quick succession are told once.
+    expect_false!(outbox.push(start + 100 * MS, &answer(1, Duration::ZERO)));
+    expect_true!(outbox.push(start + 2_000 * MS, &answer(1, 500 * MS)));
+    let (notes, next) = outbox.due(start + 2_000 * MS, to);
+    expect_that!(notes, elements_are![eq(&answer(1, 500 * MS))]);
+    outbox.accepted(to, next);
+    // The one that was told first expires first and must not make the other one new.
+    let later = start + NOTE_TTL;
+    outbox.push(later, &crash(2, 1));
+    expect_false!(outbox.push(later, &answer(1, NOTE_TTL - 1_500 * MS)));
+}
+
 /// Simulated instances that poll relays, which poll a leader.
 struct Fleet {
     instances: Vec<NoteOutbox>,
