Withhold requests with a prompt part that crashes endpoints

Cause: a request that crashes endpoints is recognised by its whole content, so requests that share a part only never add up. All crashes were noticed within 25 ms, and each verdict held for the one request that it named.

The leader now also judges the shared parts of the prompts that were in flight (part_records, docs/design.md, section 6.1). The culprit was in flight at all of its crashes, and no request with it was answered completely; instances tell answers to the parts that come into question, also earlier ones, which clears the parts in use. Crashes under a part that is to blame count against no other. Requests with it are refused as not run at all instances, new ones and repeats.

--- a/lib/src/cluster_control.rs
+++ b/lib/src/cluster_control.rs
@@ -2,6 +2,7 @@
 //!
 //! The view is read from shared memory; commands are sent to the control thread.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::MutexGuard;
 use std::time::Duration;
@@ -148,6 +149,12 @@
         self.shared.outgoing_sightings.append(sightings);
     }
 
+    /// Returns the suspects and the quarantined requests and prompt parts, by fingerprint.
+    pub fn suspects(&self) -> Arc<HashMap<u64, Suspicion>> {
+        let suspects = self.shared.suspects.read();
+        suspects.expect("suspects lock poisoned").clone()
+    }
+
     /// Sends crash notes to the leader.
     pub fn report_crash_notes(&self, now: Instant, notes: &[CrashNote]) {
         self.shared.add_crash_notes(now, notes);
--- a/lib/src/command.rs
+++ b/lib/src/command.rs
@@ -138,6 +138,11 @@
         /// Fingerprint of the request.
         fingerprint: u64,
     },
+    /// Makes prompt parts suspects, so that all instances tell answers to them ([`crate::part_records`]).
+    SuspectParts {
+        /// Fingerprints of the parts.
+        fingerprints: Vec<u64>,
+    },
 }
 
 impl Command {
--- a/lib/src/control_answer.rs
+++ b/lib/src/control_answer.rs
@@ -20,7 +20,9 @@
 use crate::crash_note::CrashNote;
 use crate::crash_records::Verdict;
 use crate::dissemination::Publisher;
+use crate::fingerprint::Fingerprint;
 use crate::ids::InstanceId;
+use crate::part_records::PartVerdict;
 use crate::peer::ResponseFuture;
 use crate::peer::Service;
 use crate::peer_message::Delivery;
@@ -97,17 +99,26 @@
     pub(crate) fn process_crash_notes(&self, notes: &[CrashNote]) {
         let now = self.clock.now();
         let mut records = self.crash_records.borrow_mut();
+        let mut part_records = self.part_records.borrow_mut();
         for note in notes {
             records.add(now, note);
+            part_records.add(now, note);
         }
-        let verdicts = {
+        let (verdicts, part_verdicts) = {
             let voter = self.voter.borrow();
             let Some(voter) = voter.as_ref() else { return };
             let suspects = voter.state().suspects();
-            records.verdicts(now, |fingerprint| {
-                suspects.suspicion(fingerprint.0) == Suspicion::Quarantined
-            })
+            let suspicion = |fingerprint: Fingerprint| suspects.suspicion(fingerprint.0);
+            let is_quarantined =
+                |fingerprint: Fingerprint| suspicion(fingerprint) == Suspicion::Quarantined;
+            (
+                records.verdicts(now, is_quarantined),
+                part_records.verdicts(now, suspicion),
+            )
         };
+        for verdict in part_verdicts {
+            self.propose_part_verdict(verdict);
+        }
         for verdict in verdicts {
             let command = match verdict {
                 Verdict::Quarantine {
@@ -131,6 +142,44 @@
         }
     }
 
+    /// Proposes a verdict about prompt parts; the records return it again until it is applied.
+    fn propose_part_verdict(&self, verdict: PartVerdict) {
+        let command = match verdict {
+            PartVerdict::Suspect { fingerprints } => {
+                let prints: Vec<_> = fingerprints.iter().map(Fingerprint::to_string).collect();
+                tracing::info!(
+                    parts = prints.join(" "),
+                    "suspects parts under which endpoints ended"
+                );
+                Command::SuspectParts {
+                    fingerprints: fingerprints.iter().map(|part| part.0).collect(),
+                }
+            }
+            PartVerdict::Quarantine {
+                fingerprint,
+                crash_count,
+            } => {
+                tracing::warn!(part = %fingerprint, ends = crash_count, "quarantines a part under which endpoints ended");
+                Command::Quarantine {
+                    fingerprint: fingerprint.0,
+                }
+            }
+            PartVerdict::Clear { fingerprint } => {
+                tracing::info!(part = %fingerprint, "clears a part of suspicion");
+                Command::ClearSuspect {
+                    fingerprint: fingerprint.0,
+                }
+            }
+            PartVerdict::Release { fingerprint } => {
+                tracing::info!(part = %fingerprint, "acquits a part that was answered");
+                Command::LiftQuarantine {
+                    fingerprint: fingerprint.0,
+                }
+            }
+        };
+        drop(self.propose(command));
+    }
+
     /// Proposes a usage report without waiting for its outcome, which is read while the poll is held.
     fn propose_usage_report(&self, report: UsageReport) -> PendingUsage {
         let (incarnation, sequence) = (report.entry.clone(), report.sequence);
--- a/lib/src/control_core.rs
+++ b/lib/src/control_core.rs
@@ -32,6 +32,7 @@
 use crate::crash_records::CrashRecords;
 use crate::dissemination::Subscriber;
 use crate::ids::InstanceId;
+use crate::part_records::PartRecords;
 use crate::peer::Identity;
 use crate::peer::Link;
 use crate::peer_message::Delivery;
@@ -179,6 +180,7 @@
     pub(crate) limits_revision: Cell<u64>,
     /// Crash notes of all instances, from which the leader derives verdicts.
     pub(crate) crash_records: RefCell<CrashRecords>,
+    pub(crate) part_records: RefCell<PartRecords>,
     /// Whether this is a leader with a majority, view version, settled version, revision of the suspects and revision of the
     /// endpoint list when held polls were last checked.
     last_published: Cell<(bool, Version, Version, u64, ListRevision)>,
@@ -233,6 +235,7 @@
             sightings: RefCell::default(),
             limits_revision: Cell::new(0),
             crash_records: RefCell::default(),
+            part_records: RefCell::default(),
             last_published: Cell::default(),
         })
     }
@@ -673,6 +676,7 @@
             | Command::ClearSuspect { .. }
             | Command::Quarantine { .. }
             | Command::LiftQuarantine { .. }
+            | Command::SuspectParts { .. }
     )
 }
 
--- a/lib/src/crash_records.rs
+++ b/lib/src/crash_records.rs
@@ -19,6 +19,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::crash_history::CrashHistory;
+use crate::crash_history::SAME_CRASH_WINDOW;
+use crate::crash_history::is_same;
+use crate::crash_history::time_between;
 use crate::crash_note::CrashEvent;
 use crate::crash_note::CrashNote;
 use crate::crash_note::NOTE_TTL;
@@ -40,10 +44,6 @@
 /// Time to wait after the newest crash for notes about other crashes, which take a probe and a few polls.
 const SETTLE_TIME: Duration = Duration::from_millis(200);
 
-/// Time within which crashes of one endpoint count as one crash, reported by several instances; an endpoint
-/// takes longer to restart and receive the same request again.
-pub const SAME_CRASH_WINDOW: Duration = Duration::from_secs(2);
-
 /// Maximum number of recorded requests, at about 100 bytes each: twice the slots of 500 engines.
 pub const MAX_REQUESTS: usize = 65_536;
 
@@ -78,52 +78,38 @@
 
 #[derive(Debug, Default)]
 struct Record {
-    /// Hashes and crash times of the endpoints that crashed under the request.
-    crashes: Vec<(u64, Instant)>,
-    /// Time of the newest response.
-    answered_at: Option<Instant>,
+    history: CrashHistory,
     /// Time at which the current verdict was last proposed.
     proposed_at: Option<Instant>,
 }
 
 impl Record {
-    /// Returns the time of the newest crash or response.
-    fn last_event(&self) -> Option<Instant> {
-        let crash_times = self.crashes.iter().map(|(_, at)| *at);
-        crash_times.chain(self.answered_at).max()
-    }
-
-    /// Returns the crashes after the newest response.
-    fn open_crashes(&self) -> impl Iterator<Item = &(u64, Instant)> {
-        let is_open = |at: Instant| self.answered_at.is_none_or(|answered_at| at > answered_at);
-        self.crashes.iter().filter(move |(_, at)| is_open(*at))
-    }
-
     /// Returns whether notes about crashes at the same time may still arrive.
     fn is_fresh(&self, now: Instant) -> bool {
-        let last_event = self.last_event();
+        let last_event = self.history.last_event();
         last_event.is_some_and(|at| now.saturating_duration_since(at) < 2 * SETTLE_TIME)
     }
 
     /// Returns whether the request is to blame, given its own crashes and those of all endpoints.
     fn is_to_blame(&self, now: Instant, all_crashes: &[(u64, Instant)]) -> bool {
-        let open_crashes = self.open_crashes().count();
+        let open_crashes = self.history.open_crashes().count();
         if open_crashes >= CRASH_LIMIT {
             return true;
         }
         if open_crashes < ISOLATED_CRASH_LIMIT {
             return false;
         }
-        let is_settled = |at: &Instant| now.saturating_duration_since(*at) >= SETTLE_TIME;
-        let is_own = |endpoint: u64| self.crashes.iter().any(|(own, _)| *own == endpoint);
-        let is_alone = |at: &Instant| {
+        let own_crashes = &self.history.crashes;
+        let is_settled = |at: Instant| now.saturating_duration_since(at) >= SETTLE_TIME;
+        let is_own = |endpoint: u64| own_crashes.iter().any(|(own, _)| *own == endpoint);
+        let is_alone = |at: Instant| {
             let others = all_crashes.iter().filter(|(endpoint, other)| {
-                time_between(*at, *other) < MASS_CRASH_WINDOW && !is_own(*endpoint)
+                time_between(at, *other) < MASS_CRASH_WINDOW && !is_own(*endpoint)
             });
             others.count() < MASS_CRASH_ENDPOINTS
         };
-        self.open_crashes()
-            .all(|(_, at)| is_settled(at) && is_alone(at))
+        let mut crashes = self.history.open_crashes();
+        crashes.all(|(_, at)| is_settled(at) && is_alone(at))
     }
 }
 
@@ -147,24 +133,19 @@
         match note.event {
             CrashEvent::Answer => {
                 if let Some(record) = self.records.get_mut(&note.fingerprint) {
-                    record.answered_at = record.answered_at.max(Some(at));
+                    record.history.add_answer(at);
                     self.undecided.insert(note.fingerprint);
                 }
             }
             CrashEvent::Crash { endpoint } => {
-                let is_same = |(other, then): &(u64, Instant)| {
-                    *other == endpoint && time_between(at, *then) < SAME_CRASH_WINDOW
-                };
-                if self.crashes.len() < MAX_RECENT_CRASHES && !self.crashes.iter().any(is_same) {
-                    self.crashes.push((endpoint, at));
+                let crash = (endpoint, at);
+                let is_known = self.crashes.iter().any(|known| is_same(*known, crash));
+                if self.crashes.len() < MAX_RECENT_CRASHES && !is_known {
+                    self.crashes.push(crash);
                 }
                 let record = self.records.entry(note.fingerprint).or_default();
-                if record.crashes.len() < MAX_CRASHES_PER_REQUEST
-                    && !record.crashes.iter().any(is_same)
-                {
-                    record.crashes.push((endpoint, at));
-                }
-                if record.crashes.len() >= ISOLATED_CRASH_LIMIT {
+                record.history.add_crash(crash, MAX_CRASHES_PER_REQUEST);
+                if record.history.crashes.len() >= ISOLATED_CRASH_LIMIT {
                     self.undecided.insert(note.fingerprint);
                 }
                 self.evict();
@@ -180,7 +161,7 @@
             .records
             .get(&fingerprint)
             .filter(|r| !is_expired(now, r));
-        record.map_or(0, |record| record.open_crashes().count())
+        record.map_or(0, |record| record.history.open_crashes().count())
     }
 
     /// Returns the verdicts that are not in force yet; `is_quarantined` returns whether a request is
@@ -201,7 +182,7 @@
             else {
                 return false;
             };
-            let crash_count = record.open_crashes().count();
+            let crash_count = record.history.open_crashes().count();
             let verdict = match (
                 record.is_to_blame(now, &self.crashes),
                 is_quarantined(*fingerprint),
@@ -261,8 +242,8 @@
         let mut order: Vec<_> = self.records.iter().collect();
         order.sort_by_key(|(_, record)| {
             (
-                record.open_crashes().count() >= ISOLATED_CRASH_LIMIT,
-                record.last_event(),
+                record.history.open_crashes().count() >= ISOLATED_CRASH_LIMIT,
+                record.history.last_event(),
             )
         });
         let count = self.records.len() / EVICTION_DIVISOR;
@@ -277,11 +258,7 @@
     }
 }
 
-fn time_between(a: Instant, b: Instant) -> Duration {
-    a.max(b) - a.min(b)
-}
-
 fn is_expired(now: Instant, record: &Record) -> bool {
-    let last_event = record.last_event();
+    let last_event = record.history.last_event();
     last_event.is_none_or(|at| now.saturating_duration_since(at) >= NOTE_TTL)
 }
--- a/lib/src/crash_tracker.rs
+++ b/lib/src/crash_tracker.rs
@@ -6,15 +6,17 @@
 //! the others, it decides from its own notes.
 
 use std::collections::HashMap;
-use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::answer_memory::AnswerMemory;
 use crate::control::Suspicion;
 use crate::crash_detector::CrashDetector;
 use crate::crash_detector::InterruptionAction;
 use crate::crash_note::CrashEvent;
 use crate::crash_note::CrashNote;
+use crate::crash_note::NOTE_TTL;
 use crate::crash_records::CRASH_LIMIT;
 use crate::crash_records::CrashRecords;
 use crate::fingerprint::Fingerprint;
@@ -29,15 +31,33 @@
 /// [`ANSWER_TTL`].
 const MAX_ANSWERS: usize = 512;
 
+/// Maximum number of remembered answers to prompt parts: 45 requests per second with two shared parts, for
+/// [`NOTE_TTL`].
+const MAX_PART_ANSWERS: usize = 5_400;
+
 /// Requests and endpoint crashes as seen by this instance.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct CrashTracker {
     detector: CrashDetector,
     records: CrashRecords,
-    /// Time of the newest remembered response to each request.
-    answers: HashMap<Fingerprint, Instant>,
-    /// Remembered responses, oldest first.
-    answer_order: VecDeque<(Instant, Fingerprint)>,
+    /// Remembered responses to requests.
+    answers: AnswerMemory,
+    /// Remembered complete responses by the parts of the prompts.
+    part_answers: AnswerMemory,
+    /// Suspects about whose answers the leader was told.
+    known_suspects: Arc<HashMap<u64, Suspicion>>,
+}
+
+impl Default for CrashTracker {
+    fn default() -> Self {
+        Self {
+            detector: CrashDetector::default(),
+            records: CrashRecords::default(),
+            answers: AnswerMemory::new(ANSWER_TTL, MAX_ANSWERS),
+            part_answers: AnswerMemory::new(NOTE_TTL, MAX_PART_ANSWERS),
+            known_suspects: Arc::default(),
+        }
+    }
 }
 
 /// Whether a request may be sent to an endpoint.
@@ -87,7 +107,7 @@
 
     /// Records that an endpoint answered a request and kept running; returns the note to share.
     pub fn answered(&mut self, now: Instant, fingerprint: Fingerprint) -> Option<CrashNote> {
-        self.remember_answer(now, fingerprint);
+        self.answers.add(now, fingerprint);
         if self.records.crash_count(now, fingerprint) == 0 {
             return None;
         }
@@ -104,26 +124,57 @@
         if suspicion != Suspicion::Quarantined {
             return Permit::Granted;
         }
-        let answered = self.answers.get(&fingerprint);
-        let age = answered.map(|at| now.saturating_duration_since(*at));
-        let recent_age = age.filter(|age| *age < ANSWER_TTL);
-        Permit::Denied(recent_age.map(|age| answer_note(fingerprint, age)))
+        let age = self.answers.age(now, fingerprint);
+        Permit::Denied(age.map(|age| answer_note(fingerprint, age)))
     }
 
-    fn remember_answer(&mut self, now: Instant, fingerprint: Fingerprint) {
-        self.answers.insert(fingerprint, now);
-        self.answer_order.push_back((now, fingerprint));
-        while let Some((at, fingerprint)) = self.answer_order.front().copied() {
-            let is_expired = now.saturating_duration_since(at) >= ANSWER_TTL;
-            if !is_expired && self.answer_order.len() <= MAX_ANSWERS {
-                break;
-            }
-            self.answer_order.pop_front();
-            if self.answers.get(&fingerprint) == Some(&at) {
-                self.answers.remove(&fingerprint);
+    /// Records that an endpoint answered a request with this part completely and kept running; returns the note to
+    /// share, if the part is a suspect.
+    pub fn part_answered(
+        &mut self,
+        now: Instant,
+        part: Fingerprint,
+        suspicion: Suspicion,
+    ) -> Option<CrashNote> {
+        self.part_answers.add(now, part);
+        (suspicion != Suspicion::None).then(|| part_note(part, Duration::ZERO))
+    }
+
+    /// Returns whether a request with this part may be sent to an endpoint; `suspicion` is the leader's decision.
+    pub fn part_permit(&self, now: Instant, part: Fingerprint, suspicion: Suspicion) -> Permit {
+        match suspicion {
+            Suspicion::None | Suspicion::Suspect => Permit::Granted,
+            Suspicion::Quarantined => {
+                let age = self.part_answers.age(now, part);
+                Permit::Denied(age.map(|age| part_note(part, age)))
             }
         }
     }
+
+    /// Returns notes about the remembered answers to new suspects; `suspects` are all suspects and their suspicion.
+    pub fn answers_to_suspects(
+        &mut self,
+        now: Instant,
+        suspects: &Arc<HashMap<u64, Suspicion>>,
+    ) -> Vec<CrashNote> {
+        if Arc::ptr_eq(&self.known_suspects, suspects) {
+            return Vec::new();
+        }
+        let known = std::mem::replace(&mut self.known_suspects, suspects.clone());
+        let new = suspects.keys().filter(|part| !known.contains_key(part));
+        let parts = new.map(|part| Fingerprint(*part));
+        parts
+            .filter_map(|part| Some(part_note(part, self.part_answers.age(now, part)?)))
+            .collect()
+    }
+}
+
+fn part_note(fingerprint: Fingerprint, age: Duration) -> CrashNote {
+    CrashNote {
+        fingerprint,
+        event: CrashEvent::PartAnswer,
+        age,
+    }
 }
 
 fn answer_note(fingerprint: Fingerprint, age: Duration) -> CrashNote {
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -345,10 +345,11 @@
             request: fingerprinter.fingerprint(workspace.as_ref(), method, &target, &body),
             parts: fingerprinter.shared_parts(&info.parts),
         };
-        if self.is_quarantined(&prints) {
+        if let Some(quarantined) = self.quarantined_print(&prints) {
             tracing::info!(
                 request = info.id,
                 print = %prints.request,
+                %quarantined,
                 "request is quarantined because endpoints crashed under it"
             );
             return Err(with_id(Refusal {
--- a/lib/src/forward_call.rs
+++ b/lib/src/forward_call.rs
@@ -45,6 +45,8 @@
     pub sent: Instant,
     /// The limit that the endpoint stated in its response.
     pub stated_limit: Option<RequestRate>,
+    /// Whether the endpoint executed the request, according to its response.
+    pub is_success: bool,
     /// Whether the end of the call was recorded.
     ended: bool,
 }
@@ -64,6 +66,7 @@
             choice,
             sent: forwarder.settings.clock.now(),
             stated_limit: None,
+            is_success: false,
             ended: false,
         }
     }
@@ -85,8 +88,12 @@
         if !std::mem::replace(&mut self.ended, true) {
             let now = self.forwarder.settings.clock.now();
             self.forwarder.fleet().end(now, self.call_id, outcome);
-            self.forwarder
-                .record_outcome(&self.choice.listed, &self.prints, outcome);
+            self.forwarder.record_outcome(
+                &self.choice.listed,
+                &self.prints,
+                outcome,
+                self.is_success,
+            );
         }
     }
 
@@ -100,6 +107,7 @@
             choice: self.choice.clone(),
             sent: self.sent,
             stated_limit: self.stated_limit,
+            is_success: self.is_success,
             ended,
         }
     }
--- a/lib/src/forward_crash.rs
+++ b/lib/src/forward_crash.rs
@@ -8,11 +8,13 @@
 use std::time::Duration;
 
 use crate::control::Control;
+use crate::control::Suspicion;
 use crate::crash_detector::InterruptionAction;
 use crate::crash_note::CrashEvent;
 use crate::crash_note::CrashNote;
 use crate::crash_tracker::Permit;
 use crate::dialect::ListedEndpoint;
+use crate::fingerprint::Fingerprint;
 use crate::fingerprint::RequestPrints;
 use crate::fleet::CallOutcome;
 use crate::fleet::ListStatus;
@@ -47,27 +49,50 @@
 }
 
 impl Forwarder {
-    /// Returns whether a request must not be sent to endpoints because it crashes them.
-    pub(crate) fn is_quarantined(&self, prints: &RequestPrints) -> bool {
+    /// Returns the fingerprint of the request, or of a part of its prompt, if that crashes endpoints so that the
+    /// request must not be sent to any.
+    pub(crate) fn quarantined_print(&self, prints: &RequestPrints) -> Option<Fingerprint> {
         let now = self.settings.clock.now();
-        let suspicion = self.settings.control.suspicion(prints.request.0);
-        match self.crash_tracker().permit(now, prints.request, suspicion) {
-            Permit::Granted => false,
-            Permit::Denied(note) => {
-                self.share_notes(note.as_slice());
-                true
+        let suspects = self.settings.control.suspects();
+        let suspicion = |fingerprint: Fingerprint| {
+            let suspicion = suspects.get(&fingerprint.0).copied();
+            suspicion.unwrap_or(Suspicion::None)
+        };
+        let mut tracker = self.crash_tracker();
+        let mut notes = tracker.answers_to_suspects(now, &suspects);
+        let request = prints.request;
+        let permit = tracker.permit(now, request, suspicion(request));
+        let parts = prints.parts.iter().map(|part| {
+            let permit = tracker.part_permit(now, *part, suspicion(*part));
+            (*part, permit)
+        });
+        let mut quarantined = None;
+        for (print, permit) in std::iter::once((request, permit)).chain(parts) {
+            if let Permit::Denied(note) = permit {
+                quarantined = quarantined.or(Some(print));
+                notes.extend(note);
             }
         }
+        drop(tracker);
+        self.share_notes(&notes);
+        quarantined
     }
 
     /// Records the outcome of a call for crash detection; the outcome must already be recorded in the fleet.
+    ///
+    /// `is_success` is whether the endpoint executed the request: an error response says nothing about what the
+    /// endpoint would have answered.
     pub(crate) fn record_outcome(
         self: &Arc<Self>,
         listed: &ListedEndpoint,
         prints: &RequestPrints,
         outcome: CallOutcome,
+        is_success: bool,
     ) {
         let now = self.settings.clock.now();
+        if outcome == CallOutcome::Served && is_success {
+            self.record_part_answers(prints);
+        }
         match outcome {
             CallOutcome::Served | CallOutcome::Failed => {
                 let note = self.crash_tracker().answered(now, prints.request);
@@ -79,6 +104,19 @@
         }
     }
 
+    /// Records the complete response to a request for the parts of its prompt.
+    fn record_part_answers(&self, prints: &RequestPrints) {
+        let now = self.settings.clock.now();
+        let control = &self.settings.control;
+        let mut tracker = self.crash_tracker();
+        let parts = prints.parts.iter();
+        let notes: Vec<_> = parts
+            .filter_map(|part| tracker.part_answered(now, *part, control.suspicion(part.0)))
+            .collect();
+        drop(tracker);
+        self.share_notes(&notes);
+    }
+
     /// Returns whether an endpoint whose connection ended in order is still running, or may end because it leaves.
     ///
     /// A process that crashes closes its connections in order as well.
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -245,7 +245,7 @@
         ) == RetryDecision::Retry
             && self.connect_failures <= MAX_CONNECT_FAILURES
             && self.time_left() > MIN_ATTEMPT_TIME
-            && !self.forwarder.is_quarantined(&self.prints)
+            && self.forwarder.quarantined_print(&self.prints).is_none()
             && (!reached || self.forwarder.spend_retry(&self.service, chance))
     }
 
@@ -525,6 +525,7 @@
         let mut fleet = self.forwarder.fleet();
         let ran = is_success && response_info.signed && !response_info.refused;
         fleet.record_response(now, guard.call_id, &response_info, ran);
+        guard.is_success = ran;
         let endpoint = &guard.choice.listed.id;
         self.forwarder
             .record_limit(endpoint, guard.sent, &response_info, ran);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod affinity;
 pub mod answer;
+mod answer_memory;
 pub mod arrivals;
 pub mod at_most_once;
 mod attempt;
@@ -28,6 +29,7 @@
 pub mod control_thread;
 pub mod crash;
 pub mod crash_detector;
+pub mod crash_history;
 pub mod crash_note;
 pub mod crash_records;
 pub mod crash_tracker;
@@ -83,6 +85,7 @@
 pub mod operator_client;
 pub mod order;
 pub mod orders;
+pub mod part_records;
 pub mod peer;
 #[allow(
     missing_docs,
--- a/lib/src/simple_state.rs
+++ b/lib/src/simple_state.rs
@@ -117,6 +117,7 @@
             // The model supports only the default window length and grace time.
             Command::SetUsageTerms(_) => Reply::Done,
             Command::Quarantine { fingerprint } => self.quarantine(*fingerprint),
+            Command::SuspectParts { fingerprints } => self.suspect_parts(fingerprints),
             Command::LiftQuarantine { fingerprint } => {
                 self.crashes.retain(|c| c.fingerprint != *fingerprint);
                 Reply::Done
@@ -302,17 +303,30 @@
 
     fn quarantine(&mut self, fingerprint: u64) -> Reply {
         if self.suspicion(fingerprint) != Suspicion::Quarantined {
-            self.crashes.retain(|c| c.fingerprint != fingerprint);
-            self.crashes.push(CrashRecord {
-                fingerprint,
-                endpoint: "".into(),
-                at: self.now,
-                quarantined: true,
-            });
+            self.put_crash(fingerprint, true);
         }
         Reply::Done
     }
 
+    fn suspect_parts(&mut self, fingerprints: &[u64]) -> Reply {
+        for fingerprint in fingerprints {
+            if self.suspicion(*fingerprint) == Suspicion::None {
+                self.put_crash(*fingerprint, false);
+            }
+        }
+        Reply::Done
+    }
+
+    fn put_crash(&mut self, fingerprint: u64, quarantined: bool) {
+        self.crashes.retain(|c| c.fingerprint != fingerprint);
+        self.crashes.push(CrashRecord {
+            fingerprint,
+            endpoint: "".into(),
+            at: self.now,
+            quarantined,
+        });
+    }
+
     fn clear_suspect(&mut self, fingerprint: u64) -> Reply {
         if self.suspicion(fingerprint) == Suspicion::Suspect {
             self.crashes.retain(|c| c.fingerprint != fingerprint);
--- a/lib/src/state.rs
+++ b/lib/src/state.rs
@@ -144,6 +144,10 @@
                 parts.suspects.quarantine(now, *fingerprint);
                 Reply::Done
             }
+            Command::SuspectParts { fingerprints } => {
+                parts.suspects.add_parts(now, fingerprints);
+                Reply::Done
+            }
             Command::LiftQuarantine { fingerprint } => {
                 parts.suspects.release(*fingerprint);
                 Reply::Done
--- a/lib/src/suspect.rs
+++ b/lib/src/suspect.rs
@@ -1,4 +1,5 @@
-//! Replicated records of the requests that were in flight when endpoints crashed.
+//! Replicated records of the requests, and of the parts of their prompts, that were in flight when endpoints
+//! crashed.
 //!
 //! A crash makes each request in flight a suspect; a second crash quarantines it. A suspect that
 //! completes is cleared. Records are kept for one hour (`docs/design.md`, section 6).
@@ -90,16 +91,28 @@
         }
     }
 
-    /// Quarantines a request, unless it is quarantined already.
+    /// Quarantines a request or a prompt part, unless it is quarantined already.
     pub fn quarantine(&mut self, now: Timestamp, fingerprint: u64) {
-        if self.suspicion(fingerprint) == Suspicion::Quarantined {
-            return;
+        if self.suspicion(fingerprint) != Suspicion::Quarantined {
+            self.insert(now, fingerprint, true);
+        }
+    }
+
+    /// Makes prompt parts suspects, unless they are suspects or quarantined already.
+    pub fn add_parts(&mut self, now: Timestamp, fingerprints: &[u64]) {
+        for fingerprint in fingerprints.iter().take(MAX_REPORTED_FINGERPRINTS) {
+            if self.suspicion(*fingerprint) == Suspicion::None {
+                self.insert(now, *fingerprint, false);
+            }
         }
+    }
+
+    fn insert(&mut self, now: Timestamp, fingerprint: u64, quarantined: bool) {
         let record = Record {
-            // Several endpoints crashed under the request, so a report about any endpoint is another crash.
+            // Several endpoints have crashed, so a report about any endpoint is another crash.
             endpoint: EndpointId::from(""),
             at: now,
-            quarantined: true,
+            quarantined,
         };
         self.records.insert(fingerprint, record);
         self.evict(self.records.len().saturating_sub(MAX_SUSPECTS));
--- a/lib/tests/test_crash_records.rs
+++ b/lib/tests/test_crash_records.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use fulmarford_lib::crash_history::SAME_CRASH_WINDOW;
 use fulmarford_lib::crash_note::CrashEvent;
 use fulmarford_lib::crash_note::CrashNote;
 use fulmarford_lib::crash_note::MAX_NOTES_PER_MESSAGE;
@@ -12,7 +13,6 @@
 use fulmarford_lib::crash_note::Upstream;
 use fulmarford_lib::crash_records::CrashRecords;
 use fulmarford_lib::crash_records::MAX_REQUESTS;
-use fulmarford_lib::crash_records::SAME_CRASH_WINDOW;
 use fulmarford_lib::crash_records::Verdict;
 use fulmarford_lib::fingerprint::Fingerprint;
 use googletest::prelude::*;
