Test responses that are cut at each byte of their heads

Not reproduced at the client for endpoints, with six kinds of head cut at each byte, on new and kept connections, before an orderly end and a reset.

--- a/lib/tests/test_upstream.rs
+++ b/lib/tests/test_upstream.rs
@@ -20,6 +20,7 @@
 use googletest::prelude::*;
 use http::HeaderMap;
 use http::Method;
+use socket2::SockRef;
 
 fn run<T>(work: impl Future<Output = T>) -> T {
     tokio::runtime::Builder::new_current_thread()
@@ -399,3 +400,89 @@
         });
     }
 }
+
+/// Responses by name, of which only the whole one may look complete.
+const CUT_RESPONSES: [&str; 6] = [
+    "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 25\r\n\r\nthe whole of the response",
+    "HTTP/1.1 103 Hint\r\nlink: </a>\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole",
+    "HTTP/1.1 200 OK\ncontent-length: 5\n\nwhole",
+    "HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 5\r\n\r\nwhole",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+    "HTTP/1.0 200 OK\r\nconnection: keep-alive\r\ncontent-length: 5\r\n\r\nwhole",
+];
+
+/// Serves [`CUT_RESPONSES`] by paths with the number of the response, the number of bytes before the cut, and how the
+/// connection ends. The path `/whole` keeps its connection.
+fn cutting_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { return };
+            thread::spawn(move || {
+                let mut buffer = [0; 4096];
+                while let Ok(length) = stream.read(&mut buffer)
+                    && length > 0
+                {
+                    let request = String::from_utf8_lossy(&buffer[..length]).into_owned();
+                    let path = request.split(' ').nth(1).unwrap_or_default();
+                    let mut words = path.split('/').skip(1);
+                    let number = words.next().and_then(|word| word.parse::<usize>().ok());
+                    let Some(number) = number else {
+                        let _ = stream.write_all(OK);
+                        continue;
+                    };
+                    let cut = words.next().and_then(|word| word.parse().ok());
+                    let response = CUT_RESPONSES[number].as_bytes();
+                    let _ = stream.write_all(&response[..cut.unwrap_or(response.len())]);
+                    if words.next() == Some("reset") {
+                        let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                    }
+                    return;
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a response that is cut within its head, or within a body of known length, and that counts as
+/// complete: on new and on kept connections, after an interim response, with lone LF, and before an orderly end or a
+/// reset.
+#[gtest]
+fn send_cut_response() {
+    let address = cutting_server();
+    let wrong: Vec<String> = run(async {
+        let client = Client::default();
+        let mut wrong = Vec::new();
+        for (number, response) in CUT_RESPONSES.iter().enumerate() {
+            for cut in 0..response.len() {
+                for ending in ["end", "reset"] {
+                    // The next call uses the connection of this one.
+                    if cut % 2 == 0 {
+                        let mut kept = Call {
+                            path: "/whole",
+                            ..call(address, true)
+                        };
+                        kept.body = "".into();
+                        let mut answer = client.send(kept).await.expect("a response");
+                        answer.collect(100).await.expect("a body");
+                    }
+                    let path = format!("/{number}/{cut}/{ending}");
+                    let cut_call = Call {
+                        path: &path,
+                        ..call(address, cut % 2 == 0)
+                    };
+                    let Ok(mut answer) = client.send(cut_call).await else {
+                        continue;
+                    };
+                    if let Ok(body) = answer.collect(100).await {
+                        wrong.push(format!("{path}: {} {:?}", answer.status, body.bytes));
+                    }
+                }
+            }
+        }
+        wrong
+    });
+    expect_that!(wrong, is_empty());
+}
