Refuse a request that a stopping process has no time for

Cause: nothing was decided between the signal and the end of the grace time. Once a head was read, the request was passed on whenever its body arrived, its turn came, or its retry was due.

Each attempt now asks whether a response of the usual length for its route fits into what is left (stop_window): nearly all lengths after load balancers have noticed the stop, the mean before, and none if no length is known.

--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -4,9 +4,12 @@
 //! request unchanged. [`crate::forward_job::decide_retry`] decides whether a failed attempt is retried;
 //! `docs/platform.md` describes the life cycle of a request.
 
+use std::collections::HashMap;
 use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -38,6 +41,7 @@
 use crate::forward_crash::QUARANTINE_TIME;
 use crate::forward_job::Job;
 use crate::forward_job::Refusal;
+use crate::ids::RouteId;
 use crate::ids::ServiceId;
 use crate::ids::WorkspaceId;
 use crate::open_requests::OpenRequestGuard;
@@ -52,6 +56,8 @@
 use crate::server::Request;
 use crate::server::Response;
 use crate::server::Service;
+use crate::stop_window::ResponseTime;
+use crate::stop_window::StopWindow;
 use crate::supervision;
 use crate::traffic_metrics::TrafficMetrics;
 use crate::upstream::Client;
@@ -77,6 +83,9 @@
 /// does not respond for longer to be down.
 const MAX_STARTUP_WAIT: Duration = Duration::from_secs(1);
 
+/// Maximum number of routes whose response times are kept; routes come and go with configurations.
+const MAX_TIMED_ROUTES: usize = 10_000;
+
 /// Interval at which a waiting request checks for the first configuration.
 const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -123,14 +132,16 @@
     /// The newest valid document and the routing table built from it.
     table: RwLock<Option<(Arc<Document>, Arc<RouteTable>)>>,
     /// Retry budgets by service.
-    budgets: Mutex<std::collections::HashMap<ServiceId, SharedBudget>>,
+    budgets: Mutex<HashMap<ServiceId, SharedBudget>>,
     crash_tracker: Mutex<CrashTracker>,
     started: Instant,
     /// Whether the instance has been without contact to the group for longer than
     /// [`Settings::stale_limit`], as of the last call of [`Self::table`].
     stale: AtomicBool,
-    /// Whether the instance is shutting down and should receive no new requests.
-    leaving: AtomicBool,
+    /// When the instance is shutting down, the time that is left for it.
+    stop_window: OnceLock<StopWindow>,
+    /// Usual response times by route.
+    response_times: Mutex<HashMap<RouteId, ResponseTime>>,
     open_requests: OpenRequests,
 }
 
@@ -150,7 +161,8 @@
             budgets: Mutex::default(),
             crash_tracker: Mutex::default(),
             stale: AtomicBool::new(false),
-            leaving: AtomicBool::new(false),
+            stop_window: OnceLock::new(),
+            response_times: Mutex::default(),
             open_requests: OpenRequests::default(),
         })
     }
@@ -242,12 +254,50 @@
 
     /// Returns whether the instance should receive requests.
     pub fn is_ready(&self) -> bool {
-        !self.leaving.load(Ordering::Relaxed) && self.table().is_some()
+        !self.is_leaving() && self.table().is_some()
+    }
+
+    /// Marks the instance as not ready; it still serves open requests, and new ones as long as the window allows.
+    pub fn leave(&self, window: StopWindow) {
+        if self.stop_window.set(window).is_err() {
+            tracing::warn!("the instance is shutting down already");
+        }
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.stop_window.get().is_some()
+    }
+
+    /// Returns whether a request of a route may be passed on to an endpoint now, which is a matter of the time that
+    /// is left if the instance is shutting down.
+    pub(crate) fn may_pass_on(&self, now: Instant, route: &RouteId) -> bool {
+        let Some(window) = self.stop_window.get() else {
+            return true;
+        };
+        window.allows(now, self.lock_response_times().get(route))
+    }
+
+    /// Returns the time by which new requests must be answered, if the instance is shutting down.
+    pub(crate) fn answer_time(&self) -> Option<Instant> {
+        self.stop_window.get().map(StopWindow::answer_time)
+    }
+
+    /// Records the time that a complete response took.
+    pub(crate) fn record_response_time(&self, route: &RouteId, took: Duration) {
+        let mut times = self.lock_response_times();
+        match times.get_mut(route) {
+            Some(time) => time.add(took),
+            None => {
+                if times.len() >= MAX_TIMED_ROUTES {
+                    times.clear();
+                }
+                times.insert(route.clone(), ResponseTime::new(took));
+            }
+        }
     }
 
-    /// Marks the instance as not ready; it still serves open and new requests.
-    pub fn leave(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
+    fn lock_response_times(&self) -> MutexGuard<'_, HashMap<RouteId, ResponseTime>> {
+        supervision::lock(&self.response_times)
     }
 
     /// Returns the requests whose response is not complete.
@@ -267,7 +317,7 @@
             Ok(response) => response,
             Err((id, refusal)) => self.refuse(&id, refusal),
         };
-        if self.leaving.load(Ordering::Relaxed) {
+        if self.is_leaving() {
             let headers = response.headers_mut();
             headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -363,6 +363,9 @@
             last_event_id,
             moved,
         } = start_point;
+        if !is_started {
+            self.check_stop()?;
+        }
         let (mut guard, copy) = match moved {
             Some(moved) => (moved.guard, moved.copy),
             None => (self.start_call()?, None),
@@ -397,6 +400,29 @@
         }))
     }
 
+    /// Refuses a request that would probably not be complete before this process ends, and shortens the deadline of
+    /// any other, so that its caller gets an answer even if it takes longer.
+    fn check_stop(&mut self) -> Result<(), Refusal> {
+        let now = self.now();
+        let Some(end) = self.forwarder.answer_time() else {
+            return Ok(());
+        };
+        if self.forwarder.may_pass_on(now, &self.route.id) {
+            self.deadline = self.deadline.min(end);
+            return Ok(());
+        }
+        tracing::info!(
+            request = self.info.id,
+            route = %self.route.id,
+            left_ms = end.saturating_duration_since(now).as_millis() as u64,
+            "too late for a request before the stop"
+        );
+        Err(Refusal {
+            code: ResultCode::Draining,
+            retry: Some(MIN_RETRY_AFTER),
+        })
+    }
+
     /// Returns how long an endpoint may send nothing before the request is retried elsewhere.
     ///
     /// The timeout applies only to repeatable requests with attempts left; any other request waits until
@@ -645,7 +671,8 @@
                 } else {
                     CallOutcome::Failed
                 });
-                self.finish(status, answer.delimiter);
+                let response_time = self.now().saturating_duration_since(guard.sent);
+                self.finish(status, answer.delimiter, response_time);
                 Ok(build_response(status, headers, server::full(buffered)))
             }
             Ok(Ok(false)) => {
@@ -687,7 +714,11 @@
     }
 
     /// Records a complete response in the metrics and the log; `end` names the evidence that it is complete.
-    pub(crate) fn finish(&self, status: u16, end: Delimiter) {
+    ///
+    /// The response took `response_time` from sending the request to the endpoint.
+    pub(crate) fn finish(&self, status: u16, end: Delimiter, response_time: Duration) {
+        self.forwarder
+            .record_response_time(&self.route.id, response_time);
         let took = self.now().saturating_duration_since(self.arrived);
         self.forwarder
             .settings
--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -88,7 +88,9 @@
             let (reason, moved) = match outcome {
                 RelayEnd::Complete => {
                     sender.complete();
-                    return self.finish(started.answer.status, started.answer.delimiter);
+                    let response_time = self.now().saturating_duration_since(started.guard.sent);
+                    let answer = &started.answer;
+                    return self.finish(answer.status, answer.delimiter, response_time);
                 }
                 RelayEnd::Disconnected => {
                     tracing::info!(request = self.info.id, "caller disconnected");
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -144,6 +144,7 @@
 pub mod site_duties;
 pub mod sse;
 pub mod state;
+pub mod stop_window;
 pub mod storage;
 mod storage_frame;
 mod stream_head;
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -43,6 +43,7 @@
 use crate::server::Service;
 use crate::site_duties;
 use crate::site_duties::SiteDuties;
+use crate::stop_window::StopWindow;
 use crate::storage::LogStore;
 use crate::traffic_metrics::TrafficMetrics;
 
@@ -234,20 +235,26 @@
     ///
     /// `signalled` is the time of the request to stop, from which the grace time counts.
     pub fn stop(mut self, signalled: Instant) {
-        let end = signalled + self.settings.grace.saturating_sub(CLOSE_RESERVE);
+        let window = StopWindow {
+            deregistered: signalled + DEREGISTRATION_DELAY.min(self.settings.grace / 2),
+            end: signalled + self.settings.grace.saturating_sub(CLOSE_RESERVE),
+        };
         if let Some(forwarder) = &self.forwarder {
-            forwarder.leave();
+            forwarder.leave(window);
             tracing::info!(open = forwarder.open_requests().count(), "not ready");
-            let delay = DEREGISTRATION_DELAY.min(self.settings.grace / 2);
-            thread::sleep((signalled + delay).saturating_duration_since(Instant::now()));
+            thread::sleep(
+                window
+                    .deregistered
+                    .saturating_duration_since(Instant::now()),
+            );
             tracing::info!(
                 open = forwarder.open_requests().count(),
                 "no longer accepting requests"
             );
         }
-        // A later request might not finish within the grace time.
+        // Connections with a request stay open, so a request may still arrive late (`stop_window`).
         if let Some(front) = self.front.take() {
-            let clean = front.drain(end.saturating_duration_since(Instant::now()));
+            let clean = front.drain(window.end.saturating_duration_since(Instant::now()));
             if let Some(forwarder) = self.forwarder.as_ref().filter(|_| !clean) {
                 log_cut_requests(&forwarder.open_requests().list(), signalled);
             }
