Refuse as not run only what no attempt may have run

What callers see: 503, which promises "not run", for a request that an engine broke off and that another one refused in a second attempt. The first may have run it.

Cause: the refusal described the last attempt only. Only requests that may be repeated have a second attempt after one that may have run, so no caller repeated what must not be, but the statement was not true; the same for attempts that are withheld because of a crashing part or a stop.

Such requests now end with 502 and code 1501.

--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -429,6 +429,7 @@
             revision: table.revision,
             attempts: 0,
             connect_failures: 0,
+            may_have_run: false,
             excluded: Vec::new(),
             usage_recorded: AtomicBool::new(false),
             stream: None,
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -160,6 +160,8 @@
     pub attempts: u32,
     /// Number of attempts that could not connect to an endpoint.
     pub connect_failures: u32,
+    /// Whether an earlier attempt may have run.
+    pub may_have_run: bool,
     /// Endpoints that failed in an earlier attempt.
     pub excluded: Vec<EndpointId>,
     /// Whether the request was recorded as usage.
@@ -181,7 +183,8 @@
     /// Makes attempts until one gives a response or no further attempt is allowed.
     pub(crate) async fn run(mut self) -> Result<Response, Refusal> {
         loop {
-            let failure = match self.attempt(StartPoint::default()).await? {
+            let attempt = self.attempt(StartPoint::default()).await;
+            let failure = match attempt.map_err(|refusal| self.true_refusal(refusal))? {
                 Ok(started) => return self.send_response(started).await,
                 Err(failure) => failure,
             };
@@ -191,24 +194,34 @@
                 // Only started responses wait for a successor.
                 Failure::Silent(_) => CallOutcome::Broken,
             };
+            self.may_have_run |= !has_not_run(outcome);
             if self.take_retry(outcome) {
                 continue;
             }
             return match failure {
                 Failure::Answered(started, CallOutcome::Refused | CallOutcome::Replaced) => {
                     drop(started);
-                    Err(self.shed())
+                    Err(self.true_refusal(self.shed()))
                 }
                 Failure::Answered(started, _) => self.send_response(*started).await,
                 Failure::NoResponse(CallOutcome::Unreachable | CallOutcome::Refused) => {
-                    Err(self.shed())
+                    Err(self.true_refusal(self.shed()))
                 }
                 _ => Err(ResultCode::EndpointFailed.into()),
             };
         }
     }
 
-    /// Returns the refusal of a request that certainly has not run, and reports it to the fleet.
+    /// Returns the refusal of a further attempt as it holds for the whole request: one that says "not run" is not
+    /// true if an earlier attempt may have run.
+    fn true_refusal(&self, refusal: Refusal) -> Refusal {
+        match self.may_have_run {
+            true => ResultCode::EndpointFailed.into(),
+            false => refusal,
+        }
+    }
+
+    /// Returns the refusal of an attempt that certainly has not run, and reports it to the fleet.
     fn shed(&self) -> Refusal {
         let now = self.now();
         self.forwarder
@@ -689,6 +702,7 @@
                 drop(guard);
                 drop(answer);
                 // Nothing was sent to the caller yet, so a repeatable request can start over.
+                self.may_have_run = true;
                 if self.take_retry(CallOutcome::Broken) {
                     return Box::pin(self.run()).await;
                 }
