Let a voter vote again when its full disk has room

Long after the last had room again, changes were refused or stayed unanswered, while all processes ran.

Cause: a failed write drops the member for the life of the process, since what is durable is unknown until the folder is read again. Each voter that had met its full disk once was gone, and after the second of three there was no majority.

The storage thread returns the store after a failed write. On a thread of its own, the folder is read again with growing pauses until it can be written, and the member goes on from there as after a restart (storage_retry). Only a full disk or quota counts as passing; after a failed sync or other errors the disk is in doubt and the voter stays away as before. A disk that is full when the process starts is treated the same.

--- a/lib/src/control_core.rs
+++ b/lib/src/control_core.rs
@@ -50,10 +50,13 @@
 use crate::rule_state::CommittedChange;
 use crate::service_load::LoadAggregator;
 use crate::shared_list::ListRevision;
+use crate::storage_retry;
+use crate::storage_retry::Reopened;
 use crate::usage::UsageSender;
 use crate::view::Version;
 use crate::voter::DataFolder;
 use crate::voter::Voter;
+use crate::voter::VoterError;
 
 /// Maximum number of instances in a cluster for which all of them poll the leader directly; that many
 /// polls take a few percent of a small processor (`docs/CAPACITY.md`).
@@ -130,6 +133,10 @@
     pub(crate) voter: RefCell<Option<Voter>>,
     /// Why this instance does not vote although it has a data folder.
     pub(crate) storage_error: RefCell<Option<String>>,
+    /// Receives the storage when it can be used again after it failed.
+    pub(crate) reopening: RefCell<Option<oneshot::Receiver<Reopened>>>,
+    /// Notified when [`Self::reopening`] is set.
+    pub(crate) storage_failed: Notify,
     pub(crate) subscriber: RefCell<Subscriber>,
     /// Revision of the suspects that are published to traffic threads.
     pub(crate) suspects_revision: Cell<u64>,
@@ -210,6 +217,8 @@
             unused_folder: RefCell::default(),
             voter: RefCell::default(),
             storage_error: RefCell::default(),
+            reopening: RefCell::default(),
+            storage_failed: Notify::new(),
             subscriber: RefCell::default(),
             suspects_revision: Cell::new(0),
             drive_requested: Arc::default(),
@@ -363,16 +372,25 @@
         };
         match advanced {
             Some(Ok(messages)) => self.send(&messages),
-            Some(Err(error)) => {
-                tracing::error!(%error, "storage failed; this instance no longer votes");
-                *self.storage_error.borrow_mut() = Some(error.to_string());
-                self.voter.borrow_mut().take();
-            }
+            Some(Err(error)) => self.stop_voting(&error),
             None => {}
         }
         self.publish_leader_view(now);
     }
 
+    /// Drops the member after its storage failed, and has the storage opened again if that may help.
+    fn stop_voting(&self, error: &VoterError) {
+        let will_retry = matches!(error, VoterError::Storage(error) if error.is_temporary());
+        tracing::error!(%error, will_retry, "storage failed; this instance no longer votes");
+        *self.storage_error.borrow_mut() = Some(error.to_string());
+        let voter = self.voter.borrow_mut().take();
+        if let Some(voter) = voter.filter(|_| will_retry) {
+            let retry = storage_retry::reopen(voter.failed_store(), voter.id());
+            *self.reopening.borrow_mut() = Some(retry);
+            self.storage_failed.notify_one();
+        }
+    }
+
     /// Sends Raft messages to members whose address is known.
     fn send(&self, messages: &[Outgoing]) {
         for outgoing in messages {
--- a/lib/src/control_thread.rs
+++ b/lib/src/control_thread.rs
@@ -14,6 +14,7 @@
 use std::time::Instant;
 
 use crossbeam::channel::Receiver;
+use crossbeam::channel::bounded;
 use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
@@ -54,6 +55,7 @@
 use crate::raft_member::Membership;
 use crate::raft_message::MemberId;
 use crate::storage::LogStore;
+use crate::storage_retry;
 use crate::supervision;
 use crate::supervision::run_vital_task;
 use crate::view::Edit;
@@ -214,6 +216,10 @@
         "group membership",
         join_group(core.clone(), config.bootstrap),
     ));
+    spawn_local(run_vital_task(
+        "storage",
+        restore_voting(core.clone(), config.bootstrap),
+    ));
     spawn_local(run_vital_task(
         "replication",
         drive_replication(core.clone()),
@@ -243,10 +249,53 @@
 /// Opens the storage, and starts the voter if the data folder belongs to a group.
 fn open_store(core: &Rc<Core>, store: Box<dyn LogStore + Send>) {
     let fresh = MemberId(rand::rng().random());
-    match DataFolder::new(store, fresh) {
-        Ok(folder) if folder.grouped => start_voter(core, folder),
-        Ok(folder) => *core.unused_folder.borrow_mut() = Some(folder),
-        Err(error) => disable_voting(core, &error),
+    match DataFolder::open(store, fresh) {
+        Ok(folder) => use_folder(core, folder),
+        Err((store, error)) if error.is_temporary() => {
+            disable_voting(core, &error);
+            let (sender, receiver) = bounded(1);
+            if sender.send(store).is_ok() {
+                *core.reopening.borrow_mut() = Some(storage_retry::reopen(receiver, fresh));
+                core.storage_failed.notify_one();
+            }
+        }
+        Err((_, error)) => disable_voting(core, &error),
+    }
+}
+
+/// Starts the voter if the folder belongs to a group, and keeps the folder otherwise.
+fn use_folder(core: &Rc<Core>, folder: DataFolder) {
+    match folder.grouped {
+        true => start_voter(core, folder),
+        false => *core.unused_folder.borrow_mut() = Some(folder),
+    }
+}
+
+/// Resumes voting each time the storage can be used again after it failed.
+async fn restore_voting(core: Rc<Core>, bootstrap: bool) {
+    loop {
+        core.storage_failed.notified().await;
+        let Some(reopening) = core.reopening.borrow_mut().take() else {
+            continue;
+        };
+        let failed_at = Instant::now();
+        match reopening.await {
+            Ok(Ok(folder)) => {
+                let failed_ms = failed_at.elapsed().as_millis() as u64;
+                tracing::info!(failed_ms, "the storage can be used again");
+                *core.storage_error.borrow_mut() = None;
+                let is_unused = !folder.grouped;
+                use_folder(&core, folder);
+                if is_unused {
+                    spawn_local(run_vital_task(
+                        "group membership",
+                        join_group(core.clone(), bootstrap),
+                    ));
+                }
+            }
+            Ok(Err(error)) => disable_voting(&core, &error),
+            Err(_) => tracing::error!("the storage is not opened again"),
+        }
     }
 }
 
--- a/lib/src/file_storage.rs
+++ b/lib/src/file_storage.rs
@@ -386,7 +386,9 @@
     }
 
     fn load_all(&mut self) -> Result<DurableState, StorageError> {
+        // After a failed write, these may hold what is not durable.
         self.closed.clear();
+        (self.id, self.hard) = (None, HardState::default());
         let names = self.list()?;
         for name in names.iter().filter(|n| n.ends_with(TEMPORARY_SUFFIX)) {
             self.remove(name)?;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -147,6 +147,7 @@
 pub mod stop_window;
 pub mod storage;
 mod storage_frame;
+mod storage_retry;
 mod stream_head;
 pub mod supervision;
 pub mod suspect;
--- a/lib/src/log_writer.rs
+++ b/lib/src/log_writer.rs
@@ -39,6 +39,9 @@
     pub bytes: usize,
 }
 
+/// The store of one member, which is used on one thread at a time.
+pub(crate) type Store = Box<dyn LogStore + Send>;
+
 /// A handle of the thread that performs the writes of one member.
 ///
 /// When it is dropped, the write that is under way ends and those after it are discarded. The store,
@@ -47,6 +50,8 @@
 pub struct LogWriter {
     batches: Sender<WriteBatch>,
     results: Receiver<Result<FinishedWrite, StorageError>>,
+    /// Receives the store when a write has failed.
+    failed_store: Receiver<Store>,
     stopping: Arc<AtomicBool>,
     /// Numbers of the batches that are not durable, with the time at which each was handed over.
     pending: VecDeque<(u64, Instant)>,
@@ -54,25 +59,34 @@
 
 impl LogWriter {
     /// Starts the thread, which calls `wake` after each write.
-    pub fn start(
-        store: Box<dyn LogStore + Send>,
-        wake: impl Fn() + Send + 'static,
-    ) -> io::Result<Self> {
+    pub fn start(store: Store, wake: impl Fn() + Send + 'static) -> io::Result<Self> {
         let (batches, queue) = unbounded();
         let (done, results) = unbounded();
+        let (return_store, failed_store) = unbounded();
         let stopping = Arc::new(AtomicBool::new(false));
         let stop = Arc::clone(&stopping);
         std::thread::Builder::new()
             .name("storage".to_owned())
-            .spawn(move || write_all(store, &queue, &done, &stop, wake))?;
+            .spawn(move || {
+                if let Some(store) = write_all(store, &queue, &done, &stop, wake) {
+                    // Whoever drops the writer need not wait for the store.
+                    let _ = return_store.send(store);
+                }
+            })?;
         Ok(Self {
             batches,
             results,
+            failed_store,
             stopping,
             pending: VecDeque::new(),
         })
     }
 
+    /// Returns the channel on which the store is returned after a failed write, so that it can be opened again.
+    pub(crate) fn failed_store(&self) -> Receiver<Store> {
+        self.failed_store.clone()
+    }
+
     /// Starts a write after all earlier ones.
     pub fn write(&mut self, now: Instant, batch: WriteBatch) -> Result<(), StorageError> {
         self.pending.push_back((batch.number, now));
@@ -130,20 +144,21 @@
     }
 }
 
+/// Performs the writes until the sender of batches is dropped, or until one fails; then it returns the store.
 fn write_all(
-    mut store: Box<dyn LogStore + Send>,
+    mut store: Store,
     queue: &Receiver<WriteBatch>,
     done: &Sender<Result<FinishedWrite, StorageError>>,
     stopping: &AtomicBool,
     wake: impl Fn(),
-) {
+) -> Option<Store> {
     while let Ok(mut batch) = queue.recv() {
         for next in queue.try_iter() {
             batch.number = next.number;
             batch.writes.extend(next.writes);
         }
         if stopping.load(Ordering::Acquire) {
-            return;
+            return None;
         }
         let start = Instant::now();
         let result = store.write(&batch.writes).map(|()| FinishedWrite {
@@ -155,8 +170,12 @@
         let failed = result.is_err();
         let sent = done.send(result);
         wake();
-        if failed || sent.is_err() {
-            return;
+        if failed {
+            return Some(store);
+        }
+        if sent.is_err() {
+            return None;
         }
     }
+    None
 }
--- a/lib/src/simple_storage.rs
+++ b/lib/src/simple_storage.rs
@@ -30,12 +30,10 @@
         self.with_lock(|shared| shared.remaining_writes = Some(writes));
     }
 
-    /// Makes a failed store writable again, as a restart with free disk space does.
-    pub fn reopen(&self) {
-        self.with_lock(|shared| {
-            shared.remaining_writes = None;
-            shared.stopped = false;
-        });
+    /// Simulates that the disk has room again. A store whose write has failed must be loaded before it is
+    /// written.
+    pub fn free(&self) {
+        self.with_lock(|shared| shared.remaining_writes = None);
     }
 
     fn with_lock<T>(&self, f: impl FnOnce(&mut Shared) -> T) -> T {
@@ -60,7 +58,10 @@
 
 impl LogStore for SimpleStorage {
     fn load(&mut self) -> Result<DurableState, StorageError> {
-        Ok(self.with_lock(|shared| shared.durable.clone()))
+        Ok(self.with_lock(|shared| {
+            shared.stopped = false;
+            shared.durable.clone()
+        }))
     }
 
     fn write(&mut self, writes: &[Write]) -> Result<(), StorageError> {
--- a/lib/src/storage.rs
+++ b/lib/src/storage.rs
@@ -159,6 +159,15 @@
     Stopped,
 }
 
+impl StorageError {
+    /// Returns whether the store may be usable again later, without a repair.
+    ///
+    /// After any other failed operation, such as a sync that reports an error, the disk itself is in doubt.
+    pub fn is_temporary(&self) -> bool {
+        matches!(self, Self::Full)
+    }
+}
+
 /// Durable storage of one member.
 pub trait LogStore {
     /// Loads the durable state.
--- a/lib/src/voter.rs
+++ b/lib/src/voter.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 use std::time::SystemTime;
 
+use crossbeam::channel::Receiver;
 use derive_more::Display;
 use derive_more::Error;
 use derive_more::From;
@@ -23,6 +24,7 @@
 use crate::lease::LeaseGate;
 use crate::log_writer::FinishedWrite;
 use crate::log_writer::LogWriter;
+use crate::log_writer::Store;
 use crate::raft::Config;
 use crate::raft::ProposeError;
 use crate::raft::Raft;
@@ -42,7 +44,6 @@
 use crate::raft_message::Term;
 use crate::state::RestoreError;
 use crate::state::State;
-use crate::storage::LogStore;
 use crate::storage::StorageError;
 use crate::storage::Write;
 use crate::storage::bootstrap;
@@ -103,31 +104,34 @@
     pub id: MemberId,
     /// Whether the member belongs to a group.
     pub grouped: bool,
-    store: Box<dyn LogStore + Send>,
+    store: Store,
 }
 
 impl DataFolder {
     /// Opens the folder; an unused one is bound to `new_id` before anything else is written.
-    pub fn new(
-        mut store: Box<dyn LogStore + Send>,
+    ///
+    /// After an error, the store is returned with it.
+    pub(crate) fn open(mut store: Store, new_id: MemberId) -> Result<Self, (Store, StorageError)> {
+        match load(&mut store, new_id) {
+            Ok((id, grouped, _)) => Ok(Self { id, grouped, store }),
+            Err(error) => Err((store, error)),
+        }
+    }
+
+    /// Opens the folder again after a failed write, if it can be written now.
+    pub(crate) fn reopen(
+        mut store: Store,
         new_id: MemberId,
-    ) -> Result<Self, StorageError> {
-        let durable = store.load()?;
-        let id = match durable.id {
-            Some(id) => id,
-            None => {
-                store.write(&[Write::Identity(new_id)])?;
-                new_id
-            }
-        };
-        Ok(Self {
-            id,
-            // A member with a vote or an entry belongs to a group even before it has a snapshot.
-            grouped: durable.snapshot.is_some()
-                || durable.hard != HardState::default()
-                || !durable.entries.is_empty(),
-            store,
-        })
+    ) -> Result<Self, (Store, StorageError)> {
+        let loaded = load(&mut store, new_id).and_then(|(id, grouped, hard)| {
+            // The term and the vote stay as they are; the write shows that there is room.
+            store.write(&[Write::Hard(hard)])?;
+            Ok((id, grouped))
+        });
+        match loaded {
+            Ok((id, grouped)) => Ok(Self { id, grouped, store }),
+            Err(error) => Err((store, error)),
+        }
     }
 
     /// Makes the data folder an initial voter of a new group.
@@ -169,7 +173,30 @@
     }
 }
 
+/// Loads a folder, which is bound to `new_id` if it is unused; returns the id of its member, whether that belongs to
+/// a group, and its term and vote.
+fn load(store: &mut Store, new_id: MemberId) -> Result<(MemberId, bool, HardState), StorageError> {
+    let durable = store.load()?;
+    let id = match durable.id {
+        Some(id) => id,
+        None => {
+            store.write(&[Write::Identity(new_id)])?;
+            new_id
+        }
+    };
+    // A member with a vote or an entry belongs to a group even before it has a snapshot.
+    let grouped = durable.snapshot.is_some()
+        || durable.hard != HardState::default()
+        || !durable.entries.is_empty();
+    Ok((id, grouped, durable.hard))
+}
+
 impl Voter {
+    /// Returns the channel on which the store is returned after a failed write.
+    pub(crate) fn failed_store(&self) -> Receiver<Store> {
+        self.writer.failed_store()
+    }
+
     /// Returns the id of this member.
     pub fn id(&self) -> MemberId {
         self.raft.id()
--- a/lib/tests/test_control_thread.rs
+++ b/lib/tests/test_control_thread.rs
@@ -388,6 +388,111 @@
     expect_true!(cluster.control(leader).view(Instant::now()).is_ok());
 }
 
+/// Time after which changes must go on when a majority of the disks has room.
+const RECOVERY_TIME: Duration = Duration::from_secs(5);
+
+/// Submits a change again under the same ID until it is applied, and returns the version.
+fn apply_repeatedly(cluster: &Cluster, id: &str, expected: u64, text: &str) -> Option<u64> {
+    let end = Instant::now() + RECOVERY_TIME;
+    while Instant::now() < end {
+        let answer = cluster
+            .control(3)
+            .submit(change(id, expected, text), Duration::from_secs(1));
+        if answer == applied(expected + 1) {
+            return Some(expected + 1);
+        }
+    }
+    None
+}
+
+/// Guards against a group that accepts nothing any more after the disks of its voters were full, one after the other
+/// and never two at a time, because each voter stopped voting for good.
+#[gtest]
+fn submit_after_full_disks() {
+    let cluster = Cluster::start(3, 1);
+    cluster.await_views();
+    for (index, store) in cluster.stores.iter().enumerate() {
+        store.fail_after(0);
+        let version = index as u64;
+        let text = format!("workspace w{index} # t");
+        let applied = apply_repeatedly(&cluster, &format!("a{index}"), version, &text);
+        expect_that!(applied, some(eq(version + 1)), "disk {index} is full");
+        let status = wait_for(|| {
+            let status = cluster.control(index).status(TIMEOUT);
+            status.storage_error.is_some().then_some(status)
+        });
+        expect_that!(status.role.as_str(), eq("none"));
+        store.free();
+        wait_for(|| {
+            let status = cluster.control(index).status(TIMEOUT);
+            (status.role != "none" && status.storage_error.is_none()).then_some(())
+        });
+    }
+    let applied = apply_repeatedly(&cluster, "b", 3, "workspace x # t");
+    expect_that!(applied, some(eq(4)));
+    for index in 0..4 {
+        wait_for(|| {
+            (cluster.control(index).status(TIMEOUT).version == Some(Version(4))).then_some(())
+        });
+    }
+}
+
+/// Guards against a change that is acknowledged while most disks are full, and against one that was acknowledged
+/// before and is lost when they have room again.
+#[gtest]
+fn submit_with_most_disks_full() {
+    let cluster = Cluster::start(3, 1);
+    cluster.await_views();
+    expect_that!(
+        apply_repeatedly(&cluster, "a", 0, "workspace v # t"),
+        some(eq(1))
+    );
+    for store in &cluster.stores[..2] {
+        store.fail_after(0);
+    }
+    let answer = cluster
+        .control(3)
+        .submit(change("b", 1, "workspace w # t"), Duration::from_secs(3));
+    expect_that!(answer, err(anything()));
+    for store in &cluster.stores[..2] {
+        store.free();
+    }
+    // The change may have been applied meanwhile; under its ID it has the same answer.
+    expect_that!(
+        apply_repeatedly(&cluster, "b", 1, "workspace w # t"),
+        some(eq(2))
+    );
+    expect_that!(
+        apply_repeatedly(&cluster, "c", 2, "workspace x # t"),
+        some(eq(3))
+    );
+}
+
+/// Guards against a voter that never votes because its disk was full when it started.
+#[gtest]
+fn start_with_full_disk() {
+    let mut cluster = Cluster::start(3, 1);
+    cluster.await_views();
+    expect_that!(
+        apply_repeatedly(&cluster, "a", 0, "workspace v # t"),
+        some(eq(1))
+    );
+    let index = (cluster.leader() + 1) % 3;
+    cluster.stop(index);
+    // The replacement of the folder is unused, so that the voter has to write before anything else.
+    cluster.stores[index] = SimpleStorage::default();
+    cluster.stores[index].fail_after(0);
+    cluster.restart(index);
+    thread::sleep(Duration::from_secs(1));
+    let status = cluster.control(index).status(TIMEOUT);
+    expect_that!(status.storage_error, some(anything()));
+    cluster.stores[index].free();
+    wait_for(|| {
+        let status = cluster.control(index).status(TIMEOUT);
+        (status.storage_error.is_none() && status.role != "none").then_some(())
+    });
+}
+
 /// Guards against the result "not proposed" for a command that may be applied, and against instances
 /// that keep serving without a majority.
 #[gtest]
--- a/lib/tests/test_file_storage.rs
+++ b/lib/tests/test_file_storage.rs
@@ -156,11 +156,18 @@
             if seed % 2 == 0 {
                 disk.crash();
             }
+            // The process may also go on and load the folder again.
+            let is_restarted = seed % 4 != 3;
+            if is_restarted {
+                store = FileStorage::new(disk.clone());
+            }
             // A fault may interrupt the recovery, which is then repeated.
             disk.inject(seed % 3, faults[(seed / 3 % 3) as usize]);
-            let _ = FileStorage::new(disk.clone()).load();
+            let _ = store.load();
             disk.inject(u64::MAX, Fault::Full);
-            store = FileStorage::new(disk.clone());
+            if is_restarted {
+                store = FileStorage::new(disk.clone());
+            }
             state = store.load().expect("a crash leaves a readable folder");
             prop_assert!(possible.contains(&state), "{state:?}\nis none of {possible:#?}");
             // The loaded state is used, so it must survive an immediate second crash.
@@ -244,6 +251,11 @@
     disk.inject(0, Fault::Full);
     expect_that!(store.write(&[hard(1)]), err(pat!(StorageError::Full)));
     expect_that!(store.write(&[hard(1)]), err(pat!(StorageError::Stopped)));
+    // The same store can be used again when it has been loaded and there is room.
+    let state = store.load()?;
+    expect_that!(state.hard, eq(HardState::default()));
+    store.write(&[hard(2)])?;
+    expect_that!(FileStorage::new(disk).load()?.hard.term, eq(Term(2)));
     Ok(())
 }
 
