--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -67,6 +67,21 @@
     Moved(Box<MovedRun>),
 }
 
+impl MoveEnd {
+    fn is_moved(&self) -> bool {
+        matches!(self, Self::Moved(_))
+    }
+
+    /// Returns what is known after another attempt: once a run may have been stopped, a further attempt that did not
+    /// move it tells nothing new.
+    fn followed_by(self, next: Self) -> Self {
+        match (self, next) {
+            (Self::Unknown, Self::InPlace) => Self::Unknown,
+            (_, next) => next,
+        }
+    }
+}
+
 /// A move of a run to another endpoint that is in progress.
 type PendingMove = Pin<Box<dyn Future<Output = MoveEnd> + Send>>;
 
@@ -162,8 +177,7 @@
         let mut changes = self.forwarder.settings.changes.clone();
         let mut is_watching = is_movable;
         let mut pending_move: Option<PendingMove> = None;
-        let mut moved = None;
-        let mut may_be_stopped = false;
+        let mut last_move = MoveEnd::InPlace;
         let mut chunk = started.first.take();
         let stall_timeout = match is_resumable {
             true => self.stall_timeout(&started.guard.choice, self.attempts),
@@ -203,7 +217,7 @@
                 return RelayEnd::DeadlinePassed;
             }
             // The timer below never fires while the endpoint keeps sending.
-            let is_moving = pending_move.is_some() || moved.is_some();
+            let is_moving = pending_move.is_some() || last_move.is_moved();
             if silence.is_due(Instant::now())
                 && !is_moving
                 && framer.is_resumable()
@@ -230,12 +244,8 @@
                     }
                     outcome = wait_for_move(&mut pending_move), if pending_move.is_some() => {
                         pending_move = None;
-                        match outcome {
-                            MoveEnd::InPlace => {}
-                            MoveEnd::Unknown => may_be_stopped = true,
-                            MoveEnd::Moved(run) => moved = Some(run),
-                        }
-                        is_watching = moved.is_none();
+                        last_move = last_move.followed_by(outcome);
+                        is_watching = !last_move.is_moved();
                     }
                 }
             };
@@ -244,7 +254,7 @@
                     chunk = Some(bytes);
                     continue;
                 }
-                Err(_) if moved.is_none() && !self.time_left().is_zero() => continue,
+                Err(_) if !last_move.is_moved() && !self.time_left().is_zero() => continue,
                 _ => {}
             }
             if pending_move.is_some() {
@@ -269,15 +279,13 @@
                     }),
                     () = sender.closed() => return RelayEnd::Disconnected,
                 };
-                match outcome {
-                    MoveEnd::InPlace => {}
-                    MoveEnd::Unknown => may_be_stopped = true,
-                    MoveEnd::Moved(run) => moved = Some(run),
-                }
-            }
-            if let Some(moved) = moved {
-                return RelayEnd::Moved(moved);
+                last_move = last_move.followed_by(outcome);
             }
+            let may_be_stopped = match last_move {
+                MoveEnd::Moved(run) => return RelayEnd::Moved(run),
+                MoveEnd::Unknown => true,
+                MoveEnd::InPlace => false,
+            };
             return match next {
                 Ok(Ok(_)) if !self.is_complete(&started.answer, framer) => {
                     self.log_interruption(&started.guard, &"the stream ended within an event");
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod forward_job;
 mod forward_limit;
 mod forward_relay;
+mod forward_response;
 pub mod forward_stall;
 pub mod gateway;
 pub mod grant;
--- a/lib/src/part_records.rs
+++ b/lib/src/part_records.rs
@@ -59,7 +59,7 @@
 const CLEAR_TIME: Duration = Duration::from_secs(10);
 
 /// Minimum time between two evaluations.
-const EVALUATION_INTERVAL: Duration = Duration::from_millis(50);
+const EVALUATION_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time after which a verdict that is not in force is proposed again; a commit takes a few milliseconds.
 const PROPOSAL_INTERVAL: Duration = Duration::from_millis(300);
@@ -229,6 +229,10 @@
         for (fingerprint, record) in &mut self.records {
             let fingerprint = *fingerprint;
             let current = suspicion(fingerprint);
+            // Most parts have met one crash only, after one of an endpoint with many requests.
+            if current == Suspicion::None && record.history.crashes.len() < SUSPECT_CRASHES {
+                continue;
+            }
             match current {
                 Suspicion::Quarantined => {
                     if record.history.open_crashes().next().is_none() && record.propose(now) {
