Send answers to suspected parts with the next poll, and change suspects less often

Suspected cause: each such change is answered to all polls at once, and each answer to a suspect interrupts the poll of its instance, four times a second for each part in use. Answers to parts now go with the next poll, suspects change twice a second at most, and are cleared together, every 5 s at most.

--- a/lib/src/command.rs
+++ b/lib/src/command.rs
@@ -143,6 +143,11 @@
         /// Fingerprints of the parts.
         fingerprints: Vec<u64>,
     },
+    /// Clears prompt parts of suspicion.
+    ClearParts {
+        /// Fingerprints of the parts.
+        fingerprints: Vec<u64>,
+    },
 }
 
 impl Command {
--- a/lib/src/control_answer.rs
+++ b/lib/src/control_answer.rs
@@ -164,10 +164,10 @@
                     fingerprint: fingerprint.0,
                 }
             }
-            PartVerdict::Clear { fingerprint } => {
-                tracing::info!(part = %fingerprint, "clears a part of suspicion");
-                Command::ClearSuspect {
-                    fingerprint: fingerprint.0,
+            PartVerdict::Clear { fingerprints } => {
+                tracing::info!(parts = fingerprints.len(), "clears parts of suspicion");
+                Command::ClearParts {
+                    fingerprints: fingerprints.iter().map(|part| part.0).collect(),
                 }
             }
             PartVerdict::Release { fingerprint } => {
--- a/lib/src/control_core.rs
+++ b/lib/src/control_core.rs
@@ -695,6 +695,7 @@
             | Command::Quarantine { .. }
             | Command::LiftQuarantine { .. }
             | Command::SuspectParts { .. }
+            | Command::ClearParts { .. }
     )
 }
 
--- a/lib/src/control_shared.rs
+++ b/lib/src/control_shared.rs
@@ -165,12 +165,13 @@
         *self.total_work.write().expect("work lock poisoned") = Arc::new(work);
     }
 
-    /// Queues crash notes and triggers a poll that sends new ones to the leader.
+    /// Queues crash notes, and triggers a poll that sends them to the leader if any of the new ones is urgent.
     pub fn add_crash_notes(&self, now: Instant, notes: &[CrashNote]) {
         let mut outbox = self.crash_notes.lock().expect("notes lock poisoned");
-        let count = notes.iter().filter(|note| outbox.push(now, note)).count();
+        let new = notes.iter().filter(|note| outbox.push(now, note));
+        let urgent_count = new.filter(|note| note.event.is_urgent()).count();
         drop(outbox);
-        if count > 0 {
+        if urgent_count > 0 {
             self.crash_notes_added.notify_one();
         }
     }
--- a/lib/src/crash_note.rs
+++ b/lib/src/crash_note.rs
@@ -55,6 +55,12 @@
     fn is_answer(self) -> bool {
         matches!(self, Self::Answer | Self::PartAnswer)
     }
+
+    /// Returns whether a note about the event is to be sent at once; answers to parts are frequent, and go with the
+    /// next poll.
+    pub fn is_urgent(self) -> bool {
+        self != Self::PartAnswer
+    }
 }
 
 /// What happened to a request or a part of prompts, and how long ago.
--- a/lib/src/part_records.rs
+++ b/lib/src/part_records.rs
@@ -61,6 +61,13 @@
 /// Minimum time between two evaluations.
 const EVALUATION_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Minimum time between two verdicts that make parts suspects: each change of the suspects is sent to all
+/// instances.
+const SUSPECT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Minimum time between two verdicts that clear suspects.
+const CLEAR_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Time after which a verdict that is not in force is proposed again; a commit takes a few milliseconds.
 const PROPOSAL_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -94,10 +101,10 @@
         /// Number of endpoints that crashed under it.
         crash_count: usize,
     },
-    /// The part is no longer a suspect.
+    /// The parts are no longer suspects.
     Clear {
-        /// Fingerprint of the part.
-        fingerprint: Fingerprint,
+        /// Fingerprints of the parts.
+        fingerprints: Vec<Fingerprint>,
     },
     /// The part was answered since the crashes for which it was quarantined.
     Release {
@@ -172,6 +179,10 @@
     crashes: Vec<Crash>,
     evaluated_at: Option<Instant>,
     expired_at: Option<Instant>,
+    /// Time of the last verdict that made parts suspects.
+    suspected_at: Option<Instant>,
+    /// Time of the last verdict that cleared suspects.
+    cleared_at: Option<Instant>,
 }
 
 impl PartRecords {
@@ -225,6 +236,7 @@
         let explained = self.explained_crashes(&suspicion);
         let mut suspect_count = 0;
         let mut suspects = Vec::new();
+        let mut cleared = Vec::new();
         let mut candidates = Vec::new();
         for (fingerprint, record) in &mut self.records {
             let fingerprint = *fingerprint;
@@ -245,8 +257,8 @@
                     record.suspected_at.get_or_insert(now);
                     let newest = record.history.crashes.iter().map(|(_, at)| *at).max();
                     let is_over = |at: Instant| now.saturating_duration_since(at) >= CLEAR_TIME;
-                    if newest.is_none_or(is_over) && record.propose(now) {
-                        verdicts.push(PartVerdict::Clear { fingerprint });
+                    if newest.is_none_or(is_over) {
+                        cleared.push(fingerprint);
                     }
                 }
                 Suspicion::None => record.suspected_at = None,
@@ -262,7 +274,13 @@
                 suspected_at: record.suspected_at,
             });
         }
-        verdicts.extend(self.new_suspects(now, suspects, suspect_count));
+        if !cleared.is_empty() && is_due(now, &mut self.cleared_at, CLEAR_INTERVAL) {
+            let fingerprints = cleared;
+            verdicts.push(PartVerdict::Clear { fingerprints });
+        }
+        if !suspects.is_empty() && is_due(now, &mut self.suspected_at, SUSPECT_INTERVAL) {
+            verdicts.extend(new_suspects(suspects, suspect_count));
+        }
         for culprit in culprits(now, &candidates) {
             let fingerprint = culprit.fingerprint;
             let record = self.records.get_mut(&fingerprint);
@@ -287,24 +305,6 @@
             .collect()
     }
 
-    /// Returns the verdict about parts that become suspects, those with the most crashes first.
-    fn new_suspects(
-        &mut self,
-        now: Instant,
-        mut suspects: Vec<(usize, Fingerprint)>,
-        suspect_count: usize,
-    ) -> Option<PartVerdict> {
-        suspects.sort_unstable_by(|a, b| b.cmp(a));
-        suspects.truncate(MAX_SUSPECTS.saturating_sub(suspect_count));
-        let records = &mut self.records;
-        let proposed = suspects.into_iter().filter(|(_, fingerprint)| {
-            let record = records.get_mut(fingerprint);
-            record.is_some_and(|record| record.propose(now))
-        });
-        let fingerprints: Vec<_> = proposed.map(|(_, fingerprint)| fingerprint).collect();
-        (!fingerprints.is_empty()).then_some(PartVerdict::Suspect { fingerprints })
-    }
-
     /// Returns the number of recorded parts.
     pub fn len(&self) -> usize {
         self.records.len()
@@ -351,6 +351,27 @@
     }
 }
 
+/// Returns whether an interval has passed since the last time, which is set to `now` if so.
+fn is_due(now: Instant, last: &mut Option<Instant>, interval: Duration) -> bool {
+    let is_due = last.is_none_or(|last| now.saturating_duration_since(last) >= interval);
+    if is_due {
+        *last = Some(now);
+    }
+    is_due
+}
+
+/// Returns the verdict about parts that become suspects, those with the most crashes first, if there is room for
+/// them.
+fn new_suspects(
+    mut suspects: Vec<(usize, Fingerprint)>,
+    suspect_count: usize,
+) -> Option<PartVerdict> {
+    suspects.sort_unstable_by(|a, b| b.cmp(a));
+    suspects.truncate(MAX_SUSPECTS.saturating_sub(suspect_count));
+    let fingerprints: Vec<_> = suspects.into_iter().map(|(_, part)| part).collect();
+    (!fingerprints.is_empty()).then_some(PartVerdict::Suspect { fingerprints })
+}
+
 /// Returns the times of the crashes that count against a part, oldest first.
 fn counted_crashes(
     now: Instant,
--- a/lib/src/simple_state.rs
+++ b/lib/src/simple_state.rs
@@ -118,6 +118,12 @@
             Command::SetUsageTerms(_) => Reply::Done,
             Command::Quarantine { fingerprint } => self.quarantine(*fingerprint),
             Command::SuspectParts { fingerprints } => self.suspect_parts(fingerprints),
+            Command::ClearParts { fingerprints } => {
+                for fingerprint in fingerprints {
+                    self.clear_suspect(*fingerprint);
+                }
+                Reply::Done
+            }
             Command::LiftQuarantine { fingerprint } => {
                 self.crashes.retain(|c| c.fingerprint != *fingerprint);
                 Reply::Done
--- a/lib/src/state.rs
+++ b/lib/src/state.rs
@@ -148,6 +148,12 @@
                 parts.suspects.add_parts(now, fingerprints);
                 Reply::Done
             }
+            Command::ClearParts { fingerprints } => {
+                for fingerprint in fingerprints {
+                    parts.suspects.clear(*fingerprint);
+                }
+                Reply::Done
+            }
             Command::LiftQuarantine { fingerprint } => {
                 parts.suspects.release(*fingerprint);
                 Reply::Done
--- a/lib/tests/test_state.rs
+++ b/lib/tests/test_state.rs
@@ -594,6 +594,8 @@
         1 => (0..6_u64).prop_map(|fingerprint| Command::LiftQuarantine { fingerprint }),
         1 => proptest::collection::vec(0..6_u64, 0..3)
             .prop_map(|fingerprints| Command::SuspectParts { fingerprints }),
+        1 => proptest::collection::vec(0..6_u64, 0..3)
+            .prop_map(|fingerprints| Command::ClearParts { fingerprints }),
         5 => (1..3_u64, 1..9_u64, 0..5_u64, 0..9_u64).prop_map(|(entry, sequence, w, n)| {
             usage(entry, sequence, START_MS / 1_000 + 45 * w, n)
         }),
