Let a started stream use the whole grace time of a stop

Cause: the deadline of a request that is passed on late was shortened, so that its caller gets an answer in any case. A stream that has started needs its deadline: its answer is under way, and the engine was told to stop earlier too.

--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -171,6 +171,14 @@
         self.deadline.saturating_duration_since(self.now())
     }
 
+    /// Returns the time in which the caller must get an answer or its beginning, which the end of a stop may
+    /// shorten.
+    pub(crate) fn answer_time_left(&self) -> Duration {
+        let end = self.forwarder.answer_time();
+        let end = end.map_or(self.deadline, |end| end.min(self.deadline));
+        end.saturating_duration_since(self.now())
+    }
+
     /// Makes attempts until one gives a response or no further attempt is allowed.
     pub(crate) async fn run(mut self) -> Result<Response, Refusal> {
         loop {
@@ -404,21 +412,16 @@
         }))
     }
 
-    /// Refuses a request that would probably not be complete before this process ends, and shortens the deadline of
-    /// any other, so that its caller gets an answer even if it takes longer.
-    fn check_stop(&mut self) -> Result<(), Refusal> {
+    /// Refuses a request that would probably not be complete before this process ends.
+    fn check_stop(&self) -> Result<(), Refusal> {
         let now = self.now();
-        let Some(end) = self.forwarder.answer_time() else {
-            return Ok(());
-        };
         if self.forwarder.may_pass_on(now, &self.route.id) {
-            self.deadline = self.deadline.min(end);
             return Ok(());
         }
         tracing::info!(
             request = self.info.id,
             route = %self.route.id,
-            left_ms = end.saturating_duration_since(now).as_millis() as u64,
+            left_ms = self.answer_time_left().as_millis() as u64,
             "too late for a request before the stop"
         );
         Err(Refusal {
--- a/lib/src/forward_response.rs
+++ b/lib/src/forward_response.rs
@@ -41,7 +41,7 @@
         } = started;
         let (status, headers) = (answer.status, end_to_end_headers(&answer.headers));
         let mut buffered = first.map_or_else(Vec::new, Vec::from);
-        let left = self.time_left();
+        let left = self.answer_time_left();
         let read_all = timeout(left, async {
             while buffered.len() <= MAX_BUFFERED_BYTES {
                 match answer.next().await? {
--- a/lib/src/forward_stall.rs
+++ b/lib/src/forward_stall.rs
@@ -85,11 +85,15 @@
         let limit = self.stall_timeout(&choice, self.attempts + 1);
         let mut silence = SilenceTimer::new(Instant::now(), limit);
         let mut exchange = std::pin::pin!(self.exchange(guard, last_event_id, copy));
+        let left = || match is_started {
+            true => self.time_left(),
+            false => self.answer_time_left(),
+        };
         loop {
-            let check = silence.next_check(Instant::now() + self.time_left());
+            let check = silence.next_check(Instant::now() + left());
             match timeout_at(check, exchange.as_mut()).await {
                 Ok(result) => return result,
-                Err(_) if self.time_left().is_zero() => return Err(Failure::DeadlinePassed),
+                Err(_) if left().is_zero() => return Err(Failure::DeadlinePassed),
                 Err(_) if !silence.is_due(Instant::now()) => {}
                 Err(_) if !is_started => return Err(Failure::NoResponse(CallOutcome::Broken)),
                 Err(_) => {
