--- a/review/standin/descriptors.rs
+++ b/review/standin/descriptors.rs
@@ -69,7 +69,13 @@
 }
 
 /// A client that keeps its connection for many streams.
-fn client(front: SocketAddr, number: usize, stop: &AtomicBool, counts: &[AtomicU64; 3], record: &Record) {
+fn client(
+    front: SocketAddr,
+    number: usize,
+    stop: &AtomicBool,
+    counts: &[AtomicU64; 3],
+    record: &Record,
+) {
     let mut connection = None;
     let mut turn = 0;
     // Streams begin at different times.
@@ -108,7 +114,14 @@
     number: usize,
     record: &Arc<Record>,
 ) {
-    let new = Engine::start(format!("i-{number}"), "llm", site.address(8080), SLOTS, WORK, record);
+    let new = Engine::start(
+        format!("i-{number}"),
+        "llm",
+        site.address(8080),
+        SLOTS,
+        WORK,
+        record,
+    );
     platform.list(&new, "ready");
     live.push_back(new);
     let Some(old) = live.pop_front() else { return };
@@ -131,12 +144,20 @@
     let platform = Platform::start(site.address(8223));
     let mut live = VecDeque::new();
     for number in 0..ENGINES {
-        let engine =
-            Engine::start(format!("i-{number}"), "llm", site.address(8080), SLOTS, WORK, record);
+        let engine = Engine::start(
+            format!("i-{number}"),
+            "llm",
+            site.address(8080),
+            SLOTS,
+            WORK,
+            record,
+        );
         platform.list(&engine, "ready");
         live.push_back(engine);
     }
-    let mut cores: Vec<_> = (0..3).map(|n| Machine::new(&site, &format!("core-{n}"), true)).collect();
+    let mut cores: Vec<_> = (0..3)
+        .map(|n| Machine::new(&site, &format!("core-{n}"), true))
+        .collect();
     let mut edge = Machine::new(&site, "edge-0", false);
     let seeds: Vec<SocketAddr> = cores.iter().map(Machine::control).collect();
     let start = Start {
--- a/review/standin/founding.rs
+++ b/review/standin/founding.rs
@@ -173,7 +173,10 @@
             return Outcome::NotRun;
         };
         machines[number].kill();
-        let names = fs::read_dir(machines[number].data(&site)).into_iter().flatten().flatten();
+        let names = fs::read_dir(machines[number].data(&site))
+            .into_iter()
+            .flatten()
+            .flatten();
         let names: Vec<String> = names
             .map(|entry| entry.file_name().to_string_lossy().into_owned())
             .collect();
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -53,7 +53,10 @@
     message.start.truncate(message.start.trim_end().len());
     loop {
         let mut line = Vec::new();
-        reader.read_until(b'\n', &mut line).ok().filter(|n| *n > 0)?;
+        reader
+            .read_until(b'\n', &mut line)
+            .ok()
+            .filter(|n| *n > 0)?;
         let line = String::from_utf8_lossy(&line).into_owned();
         let Some((name, value)) = line.trim_end().split_once(':') else {
             break;
@@ -124,20 +127,34 @@
         headers: &[(&str, &str)],
         body: &[u8],
     ) -> Result<Message, String> {
-        let mut head = format!("{method} {path} HTTP/1.1\r\n");
-        for (name, value) in headers {
-            head.push_str(&format!("{name}: {value}\r\n"));
-        }
-        head.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
-        let mut bytes = head.into_bytes();
-        bytes.extend_from_slice(body);
-        self.stream
-            .write_all(&bytes)
-            .map_err(|error| format!("not sent: {error}"))?;
+        self.send(&request(method, path, headers, body))?;
+        self.answer()
+    }
+
+    /// Sends a part of a request.
+    pub fn send(&mut self, bytes: &[u8]) -> Result<(), String> {
+        let sent = self.stream.write_all(bytes);
+        sent.map_err(|error| format!("not sent: {error}"))
+    }
+
+    /// Reads a response.
+    pub fn answer(&mut self) -> Result<Message, String> {
         read(&mut self.reader).ok_or_else(|| "no answer".to_owned())
     }
 }
 
+/// Returns the bytes of a request.
+pub fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut head = format!("{method} {path} HTTP/1.1\r\n");
+    for (name, value) in headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
+    let mut bytes = head.into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
+
 /// Makes a call on a connection of its own.
 pub fn call(
     address: SocketAddr,
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 mod descriptors;
 mod founding;
 mod http;
+mod late;
 mod process;
 mod record;
 mod rolled;
@@ -54,7 +55,9 @@
         );
         let status = answer.as_ref().map_or(0, http::Message::status);
         let error = answer.as_ref().err().cloned().unwrap_or_default();
-        record.add(&format!("configuration sent to {address}: {status} {error}"));
+        record.add(&format!(
+            "configuration sent to {address}: {status} {error}"
+        ));
         match status {
             200 => return Some(start.elapsed()),
             400..=499 if status != 408 && status != 429 => return None,
@@ -92,6 +95,7 @@
         "descriptors" => descriptors::run(&record, trouble),
         "seed-lost" => founding::run_lost(&record, trouble),
         "rolled" => rolled::run(&record, trouble),
+        "late" => late::run(&record, trouble),
         "founding-cut" => founding::run_cut(&record, trouble),
         _ => Outcome::NotRun,
     };
--- a/review/standin/process.rs
+++ b/review/standin/process.rs
@@ -106,7 +106,11 @@
             true => format!("\"{value}\""),
             false => "null".to_owned(),
         };
-        let seeds: Vec<String> = start.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let seeds: Vec<String> = start
+            .seeds
+            .iter()
+            .map(|seed| format!("\"{seed}\""))
+            .collect();
         // The fields and names of deploy/settings.json.
         let settings = format!(
             r#"{{"instance":"{}","zone":"z1","ip":"{}","front":{},"ready":{},"control":{},"peer_port":{PEER},"seeds":[{}],"bootstrap":{},"data":{},"platform":"{}","list_rate":44.0,"duties":["usage_report"],"window_seconds":5,"report_due":10,"retry_ratio":0.2,"retry_slack":56,"retry_window":10,"grace":8,"stale_limit":60}}"#,
@@ -174,7 +178,13 @@
 /// Returns the command of a role in the deploy file.
 fn run_command(role: &str) -> String {
     let deploy = fs::read_to_string("deploy/system.toml").expect("run in the repository");
-    let section = deploy.split(&format!("[roles.{role}]")).nth(1).expect("the role");
+    let section = deploy
+        .split(&format!("[roles.{role}]"))
+        .nth(1)
+        .expect("the role");
     let line = section.lines().find_map(|line| line.strip_prefix("run = "));
-    line.expect("the command").trim().trim_matches('"').to_owned()
+    line.expect("the command")
+        .trim()
+        .trim_matches('"')
+        .to_owned()
 }
--- a/review/standin/rolled.rs
+++ b/review/standin/rolled.rs
@@ -38,7 +38,10 @@
     let latest = |machine: &Machine| {
         let log = site.folder.join(format!("log-{}", machine.name));
         let log = fs::read_to_string(log).unwrap_or_default();
-        let line = log.lines().rev().find(|line| line.contains("leads the group"));
+        let line = log
+            .lines()
+            .rev()
+            .find(|line| line.contains("leads the group"));
         // Lines begin with the time in a sortable form.
         line.map(|line| line.chars().take(48).collect::<String>())
     };
@@ -55,8 +58,9 @@
 pub fn run(record: &Arc<Record>, trouble: bool) -> Outcome {
     let site = Site::create(20);
     let platform = Platform::start(site.address(8223));
-    let mut live: Vec<_> =
-        (0..CORES).map(|number| Machine::new(&site, &format!("core-{number}"), true)).collect();
+    let mut live: Vec<_> = (0..CORES)
+        .map(|number| Machine::new(&site, &format!("core-{number}"), true))
+        .collect();
     let seeds: Vec<SocketAddr> = live.iter().take(3).map(Machine::control).collect();
     for machine in &mut live {
         machine.start(
@@ -85,13 +89,18 @@
                 platform: platform.address,
             };
             new.start(&site, &start);
-            record.say(&format!("{name} starts with an empty disk at a new address"));
+            record.say(&format!(
+                "{name} starts with an empty disk at a new address"
+            ));
             thread::sleep(CATCH_UP);
             let position = leader(&site, &live);
             let mut old = live.remove(position);
             live.push(new);
             let took = old.stop(Duration::from_secs(8));
-            record.say(&format!("{} was stopped for good by SIGTERM in {took:.1?}", old.name));
+            record.say(&format!(
+                "{} was stopped for good by SIGTERM in {took:.1?}",
+                old.name
+            ));
         } else {
             thread::sleep(CATCH_UP);
         }
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -1,6 +1,7 @@
 //! The platform's list of engines, and the engines.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::io::BufReader;
 use std::io::Write as _;
 use std::net::Shutdown;
@@ -96,10 +97,16 @@
     }
 }
 
+/// The number of events follows from the request's `Fulmarford-Token-Count`.
+pub const BY_SIZE: u32 = u32::MAX;
+
+/// Tokens in an event, as on the sheets.
+const EVENT_TOKENS: u32 = 6;
+
 /// How an engine answers.
 #[derive(Clone, Copy)]
 pub struct Work {
-    /// Number of events of a stream; 0 for a plain answer.
+    /// Number of events of a stream; 0 for a plain answer, [`BY_SIZE`] if the request states its size.
     pub events: u32,
     /// Time before each event, or before the plain answer.
     pub gap: Duration,
@@ -115,6 +122,8 @@
     active: AtomicUsize,
     stopped: Arc<AtomicBool>,
     connections: Mutex<Vec<TcpStream>>,
+    /// Requests that the engine has begun to run.
+    started: Mutex<BTreeSet<String>>,
 }
 
 impl Engine {
@@ -137,6 +146,7 @@
             active: AtomicUsize::new(0),
             stopped: Arc::default(),
             connections: Mutex::default(),
+            started: Mutex::default(),
         });
         let (known, record) = (engine.clone(), record.clone());
         accept(listener, engine.stopped.clone(), move |stream| {
@@ -169,6 +179,11 @@
         self.active.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the engine has begun to run a request.
+    pub fn has_run(&self, id: &str) -> bool {
+        self.started.lock().expect("requests lock").contains(id)
+    }
+
     /// Ends the engine: it stops listening and closes its connections.
     pub fn end(&self) {
         self.stopped.store(true, Ordering::Relaxed);
@@ -179,7 +194,13 @@
     }
 
     /// Answers a request; returns whether the connection stays open.
-    fn answer(&self, request: &Message, writer: &mut TcpStream, work: Work, record: &Record) -> bool {
+    fn answer(
+        &self,
+        request: &Message,
+        writer: &mut TcpStream,
+        work: Work,
+        record: &Record,
+    ) -> bool {
         let id = request.header("fulmarford-request-id").unwrap_or_default();
         let refuse = |writer: &mut TcpStream, status: &str| {
             let answer = format!(
@@ -204,6 +225,16 @@
         }
         let tenant = request.header("fulmarford-tenant");
         record.add(&format!("run {id} at {} tenant {tenant:?}", self.id));
+        let mut work = work;
+        if work.events == BY_SIZE {
+            let tokens = request.header("fulmarford-token-count").unwrap_or_default();
+            let output = tokens.split(',').nth(1).and_then(|text| text.parse().ok());
+            work.events = output.unwrap_or(EVENT_TOKENS) / EVENT_TOKENS;
+        }
+        self.started
+            .lock()
+            .expect("requests lock")
+            .insert(id.to_owned());
         let goes_on = self.run(id, writer, work);
         self.active.fetch_sub(1, Ordering::Relaxed);
         goes_on
