Review case 4: the memory of the core is not bounded by the size of the configuration

Cause, as far as known: a voter keeps 1,024 log entries in memory, bounded by number and not by size, and an entry that replaces the configuration holds the whole document.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod founding;
 mod http;
 mod late;
+mod memory;
 mod process;
 mod record;
 mod rolled;
@@ -95,6 +96,7 @@
         "descriptors" => descriptors::run(&record, trouble),
         "seed-lost" => founding::run_lost(&record, trouble),
         "rolled" => rolled::run(&record, trouble),
+        "memory" => memory::run(&record, trouble),
         "late" => late::run(&record, trouble),
         "founding-cut" => founding::run_cut(&record, trouble),
         _ => Outcome::NotRun,
