--- a/review/standin/memory.rs
+++ b/review/standin/memory.rs
@@ -33,6 +33,8 @@
 const TIME: Duration = Duration::from_secs(100);
 /// Delay before a process that has ended is started again.
 const RESTART: Duration = Duration::from_secs(1);
+/// Time between two changes (`gap_s` of `config_storm`).
+const GAP: Duration = Duration::from_millis(60);
 /// Time for which the operator repeats a change.
 const PATIENCE: Duration = Duration::from_secs(10);
 /// Ends of a machine's process at which a day counts 0, if half of the core has as many.
@@ -173,7 +175,7 @@
     2 * ended >= CORES
 }
 
-/// Changes the configuration, each time after the acknowledgement of the change before, until `is_decided`; returns the
+/// Changes the configuration, each time after the acknowledgement of the change before and [`GAP`] later, until `is_decided`; returns the
 /// number of acknowledgements.
 fn operate(
     controls: &[SocketAddr],
@@ -191,9 +193,11 @@
         if version == 1 || version % 50 == 0 {
             record.say(&format!("version {version}: {} bytes", document.len()));
         }
+        let sent = Instant::now();
         if replace(controls, &document, PATIENCE, record).is_some() {
             acknowledged += 1;
         }
+        thread::sleep((sent + GAP).saturating_duration_since(Instant::now()));
     }
     acknowledged
 }
