Remove a silent voter of an even group before another one is promoted

Cause: promotions and removals were decided apart. Each learner was promoted, which raised the majority; a voter was removed after 10 s of silence, which each leader counts anew, and each leader was replaced after 8 s. So five of ten voters were gone. The schedules of test_raft played ReplacementPolicy::plan, which the product never called. Change: one policy, called by the leader and by the schedules. A silent voter of an even group is removed after 1.5 s, and nobody is promoted before. In an odd group a promotion beside a silent voter and its removal leave the number of voters that may fail as it is; the former times stay there. Tests replaced: plan_promotes_before_removing and plan_removal_needs_enough_voters test the one policy; the cases of plan_waits_for_failure_and_catch_up that expected no promotion under a new name and a promotion before the removal of a lost disk described the function that the product never ran, so plan_replaces_lost_disk and plan_replaces_silent_voter_of_even_group test what it does. plan_keeps_majority also checks that no change reduces the margin. voter_replaced_at_new_address looks for the names of the voters at the end instead of for four voters in passing. Why it works: a leader needs about 1 s after its election to remove the voter that was replaced before, and a new machine is given 4 s before the next one is replaced; a promotion can no longer hide the loss.

--- a/lib/src/control_thread.rs
+++ b/lib/src/control_thread.rs
@@ -53,6 +53,7 @@
 use crate::peer_message::encode;
 use crate::raft::Config as RaftConfig;
 use crate::raft_member::Membership;
+use crate::raft_member::ReplacementPolicy;
 use crate::raft_message::MemberId;
 use crate::storage::LogStore;
 use crate::storage_retry;
@@ -392,8 +393,12 @@
     }
 }
 
-/// Promotes learners on the leader; on a voter that is no member, requests to join.
+/// Replaces failed members on the leader; on a voter that is no member, requests to join.
 async fn maintain_members(core: Rc<Core>) {
+    let policy = ReplacementPolicy {
+        removes_silent: core.discovers_members(),
+        ..ReplacementPolicy::default()
+    };
     loop {
         sleep(MEMBERSHIP_INTERVAL).await;
         let now = core.clock.now();
@@ -403,10 +408,7 @@
             let Some(voter) = voter.as_mut() else {
                 continue;
             };
-            voter.promote_learners(now);
-            if core.discovers_members() {
-                voter.remove_failed_voter(now);
-            }
+            voter.replace_members(now, &policy);
             let id = voter.id();
             // A voter that was removed during a partition hears from no leader and is not aware of it.
             let lost = core.discovers_members() && voter.raft().leader().is_none();
--- a/lib/src/raft_member.rs
+++ b/lib/src/raft_member.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use derive_more::Display;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -188,7 +189,8 @@
 }
 
 /// The health of a member, as observed by the leader.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[display("{instance} for {} ms", silent.as_millis())]
 pub struct MemberHealth {
     /// The member.
     pub id: MemberId,
@@ -203,23 +205,39 @@
 }
 
 /// The rules by which learners are promoted and failed members are removed.
+///
+/// The leader applies them, and so do the fault schedules of the tests. They are pure: all they know of
+/// the members is what the leader has observed (`docs/replication.md`, "Replacement").
 #[derive(Clone, Copy, Debug)]
 pub struct ReplacementPolicy {
-    /// Target number of voters.
-    pub voters: usize,
+    /// Whether silent members are removed, as in a group whose instances come and go under new names.
+    ///
+    /// Where all voters are configured, a silent one is expected to return.
+    pub removes_silent: bool,
+    /// Minimum number of responsive voters without which no silent voter is removed.
+    ///
+    /// With fewer voters, an acknowledged entry would be stored on too few disks.
+    pub min_responsive: usize,
     /// Time within which a responsive member has responded last.
     pub responsive_within: Duration,
-    /// Time without a response after which a member counts as failed.
+    /// Time without a response after which a voter is removed if that lowers the majority.
+    ///
+    /// It is longer than the restart of a process, and shorter than the time that a new instance is given
+    /// before the next one is replaced.
+    pub surplus_after: Duration,
+    /// Time without a response after which any voter counts as failed.
     pub failed_after: Duration,
-    /// Largest number of entries that a learner may lack when it is promoted.
+    /// Maximum number of entries that a learner may lack when it is promoted.
     pub max_learner_lag: u64,
 }
 
 impl Default for ReplacementPolicy {
     fn default() -> Self {
         Self {
-            voters: 3,
+            removes_silent: true,
+            min_responsive: 3,
             responsive_within: Duration::from_millis(500),
+            surplus_after: Duration::from_millis(1_500),
             failed_after: Duration::from_secs(10),
             max_learner_lag: 64,
         }
@@ -227,41 +245,54 @@
 }
 
 impl ReplacementPolicy {
-    /// Returns the next change towards the target number of responsive voters.
+    /// Returns the next change towards a group of responsive voters.
     ///
-    /// A learner is promoted before a failed voter is removed. No change is proposed after which
-    /// the responsive voters would not be a majority.
+    /// No change is proposed after which the responsive voters would not be a majority, nor one that
+    /// reduces the number of voters that may fail.
     pub fn plan(&self, members: &[MemberHealth]) -> Option<MemberChange> {
-        let failed = members
-            .iter()
-            .find(|m| m.voting && self.has_failed(m, members));
+        if let Some(lost) = self.find_lost(members) {
+            return self.if_majority_responsive(MemberChange::Remove(lost), members);
+        }
         let voters = members.iter().filter(|m| m.voting).count();
-        if let Some(failed) = failed.filter(|_| voters > self.voters) {
-            return self.if_majority_responsive(MemberChange::Remove(failed.id), members);
+        let silent = self.find_silent_voter(members);
+        let silent = silent.filter(|_| self.may_remove_voter(members));
+        // With an even number of voters, one that is silent only raises the majority. Another voter beside it
+        // would let silent ones add up while instances are replaced in turn.
+        if let Some(silent) = silent.filter(|_| voters.is_multiple_of(2)) {
+            let is_due = silent.silent >= self.surplus_after;
+            let change = is_due.then_some(MemberChange::Remove(silent.id))?;
+            return self.if_majority_responsive(change, members);
         }
-        let learner = members.iter().find(|m| self.is_ready(m));
-        let is_wanted = failed.is_some() || voters < self.voters;
-        if let Some(learner) = learner.filter(|_| is_wanted) {
+        if let Some(learner) = members.iter().find(|m| self.is_ready(m)) {
             return self.if_majority_responsive(MemberChange::Promote(learner.id), members);
         }
-        let stale = members
-            .iter()
-            .find(|m| !m.voting && m.silent >= self.failed_after);
-        stale.map(|m| MemberChange::Remove(m.id))
+        let failed = silent.filter(|m| m.silent >= self.failed_after)?;
+        self.if_majority_responsive(MemberChange::Remove(failed.id), members)
     }
 
-    /// Returns the removal of a failed voter, if at least the target number of voters responds.
+    /// Returns the member whose instance lost its data and came back as a learner that has caught up.
     ///
-    /// With fewer voters, an acknowledged entry would be stored on too few disks.
-    pub fn plan_removal(&self, members: &[MemberHealth]) -> Option<MemberChange> {
-        let working = members.iter().filter(|m| m.voting && self.is_responsive(m));
-        if working.count() < self.voters {
-            return None;
-        }
-        let failed = members
+    /// It never returns. It is removed before the learner is promoted: if it remained a voter, a majority
+    /// would need the promoted learner right away.
+    fn find_lost(&self, members: &[MemberHealth]) -> Option<MemberId> {
+        let has_returned = |lost: &&MemberHealth| {
+            let is_successor = |m: &MemberHealth| m.id != lost.id && m.instance == lost.instance;
+            members.iter().any(|m| self.is_ready(m) && is_successor(m))
+        };
+        members.iter().find(has_returned).map(|m| m.id)
+    }
+
+    /// Returns the voter that has been silent for the longest time, if any is silent.
+    fn find_silent_voter<'a>(&self, members: &'a [MemberHealth]) -> Option<&'a MemberHealth> {
+        let silent = members
             .iter()
-            .find(|m| m.voting && m.silent >= self.failed_after)?;
-        self.if_majority_responsive(MemberChange::Remove(failed.id), members)
+            .filter(|m| m.voting && !self.is_responsive(m));
+        silent.max_by_key(|m| m.silent)
+    }
+
+    fn may_remove_voter(&self, members: &[MemberHealth]) -> bool {
+        let responsive = members.iter().filter(|m| m.voting && self.is_responsive(m));
+        self.removes_silent && responsive.count() >= self.min_responsive
     }
 
     fn is_responsive(&self, member: &MemberHealth) -> bool {
@@ -272,17 +303,6 @@
         !member.voting && self.is_responsive(member) && member.behind <= self.max_learner_lag
     }
 
-    /// Returns whether a voter has failed.
-    ///
-    /// A voter whose instance came back under a new id has lost its data, so it never returns.
-    fn has_failed(&self, member: &MemberHealth, members: &[MemberHealth]) -> bool {
-        let is_successor = |other: &MemberHealth| {
-            other.id != member.id && other.instance == member.instance && self.is_responsive(other)
-        };
-        let is_silent = !self.is_responsive(member);
-        member.silent >= self.failed_after || (is_silent && members.iter().any(is_successor))
-    }
-
     /// Returns `change` if a majority of the voters after it is responsive.
     fn if_majority_responsive(
         &self,
--- a/lib/src/raft_replicate.rs
+++ b/lib/src/raft_replicate.rs
@@ -57,8 +57,10 @@
     fn silent_voters(&self, now: Instant) -> String {
         let health = self.health(now);
         let others = health.iter().filter(|m| m.voting && m.id != self.id);
-        let silent = others.map(|m| format!("{} for {} ms", m.instance, m.silent.as_millis()));
-        silent.collect::<Vec<_>>().join(", ")
+        others
+            .map(ToString::to_string)
+            .collect::<Vec<_>>()
+            .join(", ")
     }
 
     fn start_round(&mut self, now: Instant) {
--- a/lib/src/voter.rs
+++ b/lib/src/voter.rs
@@ -460,50 +460,26 @@
         (is_unused && all_vote).then(|| members.clone())
     }
 
-    /// Proposes to remove a failed voter, if enough responsive voters remain.
+    /// Proposes the membership change that `policy` plans, if this member is the leader.
     ///
-    /// This serves groups whose members come and go under new names, where a learner does not show
-    /// which voter it replaces. A removed voter that returns joins again as a learner.
-    pub fn remove_failed_voter(&mut self, now: Instant) {
+    /// A removed member that returns joins again as a learner.
+    pub fn replace_members(&mut self, now: Instant, policy: &ReplacementPolicy) {
         if !self.is_leader() {
             return;
         }
         let health = self.raft.health(now);
-        let Some(change) = ReplacementPolicy::default().plan_removal(&health) else {
+        let Some(change) = policy.plan(&health) else {
             return;
         };
         match self.raft.propose_change(now, change.clone()) {
-            Ok(_) => tracing::info!(?change, "proposes to remove a failed voter"),
-            Err(error) => tracing::debug!(?change, %error, "cannot change the membership yet"),
-        }
-    }
-
-    /// Proposes to promote a learner that has caught up, or first to remove the voter that it
-    /// replaces.
-    ///
-    /// The learner replaces a member of the same instance that lost its data. That member is
-    /// removed first: if it remained a voter, a majority would need the promoted learner right
-    /// away.
-    pub fn promote_learners(&mut self, now: Instant) {
-        if !self.is_leader() {
-            return;
-        }
-        let health = self.raft.health(now);
-        let max_lag = Config::default().max_learner_lag;
-        let window = Config::default().check_quorum_window;
-        let ready = health
-            .iter()
-            .find(|m| !m.voting && m.behind <= max_lag && m.silent < window);
-        let Some(learner) = ready else { return };
-        let lost = health
-            .iter()
-            .find(|m| m.instance == learner.instance && m.id != learner.id);
-        let change = match lost {
-            Some(member) => MemberChange::Remove(member.id),
-            None => MemberChange::Promote(learner.id),
-        };
-        match self.raft.propose_change(now, change.clone()) {
-            Ok(_) => tracing::info!(?change, "changes the membership"),
+            Ok(_) => {
+                let silent = health
+                    .iter()
+                    .filter(|m| m.silent >= policy.responsive_within);
+                let silent: Vec<_> = silent.map(ToString::to_string).collect();
+                let silent = silent.join(", ");
+                tracing::info!(?change, %silent, "changes the membership");
+            }
             Err(error) => tracing::debug!(?change, %error, "cannot change the membership yet"),
         }
     }
--- a/lib/tests/raft_cluster/mod.rs
+++ b/lib/tests/raft_cluster/mod.rs
@@ -2,6 +2,7 @@
 
 mod action;
 mod disk;
+mod rolling;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -38,6 +39,7 @@
 pub(crate) use action::action;
 pub(crate) use action::member_action;
 pub(crate) use disk::Disk;
+pub(crate) use rolling::turn;
 
 pub(crate) type Check = Result<(), TestCaseError>;
 
@@ -52,6 +54,7 @@
 
 struct Node {
     id: MemberId,
+    instance: InstanceId,
     disk: Box<dyn Disk>,
     store: Option<Box<dyn LogStore>>,
     raft: Option<Raft>,
@@ -82,7 +85,8 @@
     deliveries: BinaryHeap<Reverse<(u64, u64)>>,
     messages: BTreeMap<u64, (MemberId, MemberId, Message)>,
     messages_sent: u64,
-    partition: Option<u8>,
+    /// Each bit gives the side of one node.
+    partition: Option<u64>,
     /// Share of lost messages, in percent.
     loss: u8,
     /// Share of duplicated messages, in percent.
@@ -98,6 +102,10 @@
     /// Leader of each term, and the time of its election in microseconds.
     leaders: BTreeMap<Term, (MemberId, u64)>,
     coverage: Coverage,
+    /// Time of the next membership check in a rolling replacement, in microseconds.
+    maintain_at: u64,
+    /// Majority of the initial voters.
+    initial_majority: usize,
 }
 
 /// How often the situations that the schedules are meant to test occurred.
@@ -137,7 +145,25 @@
 }
 
 impl Cluster {
+    /// Creates a group whose small limits make each message carry little.
     pub(crate) fn new(seed: u64, voters: usize, new_disk: fn(u64) -> Box<dyn Disk>) -> Self {
+        let config = Config {
+            chunk_bytes: 16,
+            max_append_bytes: 40,
+            max_inflight: 3,
+            retained_entries: 1,
+            max_learner_lag: 4,
+            ..Config::default()
+        };
+        Self::with_config(seed, voters, new_disk, config)
+    }
+
+    pub(crate) fn with_config(
+        seed: u64,
+        voters: usize,
+        new_disk: fn(u64) -> Box<dyn Disk>,
+        config: Config,
+    ) -> Self {
         let mut cluster = Self {
             nodes: Vec::new(),
             new_disk,
@@ -151,19 +177,14 @@
             loss: 0,
             duplication: 0,
             delay: 2,
-            config: Config {
-                chunk_bytes: 16,
-                max_append_bytes: 40,
-                max_inflight: 3,
-                retained_entries: 1,
-                max_learner_lag: 4,
-                ..Config::default()
-            },
+            config,
             reference: BTreeMap::new(),
             committed_term: BTreeMap::new(),
             acknowledged: Vec::new(),
             leaders: BTreeMap::new(),
             coverage: Coverage::default(),
+            maintain_at: 0,
+            initial_majority: voters / 2 + 1,
         };
         let ids: Vec<MemberId> = (0..voters).map(|_| cluster.add_node()).collect();
         let voter = |id: &MemberId| (*id, InstanceId::from(format!("i{id}")), String::new());
@@ -188,6 +209,7 @@
         let clock_rate = self.rng.random_range(1.0 - CLOCK_DRIFT..=1.0 + CLOCK_DRIFT);
         self.nodes.push(Node {
             id,
+            instance: InstanceId::from(format!("i{id}")),
             disk,
             store: None,
             raft: None,
@@ -251,7 +273,7 @@
         let count = self.nodes.len();
         match action {
             Action::Propose => self.propose(),
-            Action::Partition(mask) => self.partition = Some(*mask),
+            Action::Partition(mask) => self.partition = Some(u64::from(*mask)),
             Action::Heal => self.partition = None,
             Action::Crash(n, None) => self.crash(n % count),
             Action::Crash(n, units) => self.nodes[n % count].torn_write_units = *units,
@@ -304,7 +326,7 @@
     /// Replaces a disk by an empty one, after which the instance restarts as a new member.
     fn lose_disk(&mut self, node_idx: usize) {
         self.crash(node_idx);
-        let name = InstanceId::from(format!("i{}", self.nodes[node_idx].id));
+        let name = self.nodes[node_idx].instance.clone();
         let id = MemberId(self.rng.random());
         self.nodes[node_idx].id = id;
         self.nodes[node_idx].disk = (self.new_disk)(self.rng.random());
@@ -331,7 +353,7 @@
     fn replace(&mut self) {
         let policy = ReplacementPolicy {
             failed_after: Duration::from_secs(2),
-            max_learner_lag: 4,
+            max_learner_lag: self.config.max_learner_lag,
             ..ReplacementPolicy::default()
         };
         self.for_each_leader(|raft, now| {
@@ -560,7 +582,7 @@
 
     fn send(&mut self, from: MemberId, outgoing: Outgoing) {
         let node_idx = |id| self.nodes.iter().position(|node| node.id == id);
-        let side = |id| node_idx(id).map(|p| self.partition.unwrap_or(0) >> p & 1);
+        let side = |id| node_idx(id).map(|p| self.side(p));
         if side(from) != side(outgoing.to) || self.rng.random_range(0..100) < self.loss {
             return;
         }
--- a/lib/tests/test_raft.rs
+++ b/lib/tests/test_raft.rs
@@ -7,6 +7,7 @@
 
 use std::cell::Cell;
 
+use fulmarford_lib::raft::Config as RaftConfig;
 use fulmarford_lib::simple_disk::SimpleDisk;
 use fulmarford_lib::simple_storage::SimpleStorage;
 use proptest::collection::vec;
@@ -21,10 +22,14 @@
 use raft_cluster::Cluster;
 use raft_cluster::Coverage;
 use raft_cluster::Disk;
+use raft_cluster::turn;
 
 /// Number of schedules per test; the five tests run 10,000 together.
 const SCHEDULES: u64 = 2000;
 
+/// Number of schedules of each test that replaces the nodes in turn.
+const REPLACEMENT_SCHEDULES: u64 = 60;
+
 fn env_or(name: &str, default: u64) -> u64 {
     let value = std::env::var(name).ok();
     value.map_or(default, |text| {
@@ -37,10 +42,29 @@
     cluster: impl Fn(u64) -> Cluster,
     replace: bool,
 ) {
+    let schedule = vec((0..700_u16, actions), 5..30);
+    let (count, total) = play_schedules(SCHEDULES, schedule, |seed, schedule| {
+        run(cluster(seed), schedule, replace)
+    });
+    println!("{count} schedules: {total:?}");
+    if count >= SCHEDULES {
+        // Schedules that rarely reach elections, writes, snapshots or changes test too little.
+        let wanted = count as usize;
+        assert!(total.elections > wanted && total.writes > wanted && total.installs > wanted / 10);
+        assert!(total.early_messages > wanted && total.lost_writes > wanted / 10);
+        assert!(!replace || total.changes > wanted / 4);
+    }
+}
+
+/// Plays a schedule for each seed, and returns the number of schedules and what they covered.
+fn play_schedules<S: Strategy>(
+    default_count: u64,
+    schedule: S,
+    play: impl Fn(u64, S::Value) -> Result<Coverage, TestCaseError>,
+) -> (u64, Coverage) {
     let total = Cell::new(Coverage::default());
     let first = env_or("FULMARFORD_SEED", 1);
-    let count = env_or("FULMARFORD_SCHEDULES", SCHEDULES);
-    let schedule = vec((0..700_u16, actions), 5..30);
+    let count = env_or("FULMARFORD_SCHEDULES", default_count);
     for seed in first..first + count {
         let mut bytes = [0; 32];
         bytes[..8].copy_from_slice(&seed.to_le_bytes());
@@ -53,7 +77,7 @@
         };
         let mut runner = TestRunner::new_with_rng(config, rng);
         let result = runner.run(&schedule, |schedule| {
-            let coverage = run(cluster(seed), schedule, replace)?;
+            let coverage = play(seed, schedule)?;
             total.set(total.get().plus(coverage));
             Ok(())
         });
@@ -61,15 +85,7 @@
             panic!("FULMARFORD_SEED={seed} FULMARFORD_SCHEDULES=1: {error}");
         }
     }
-    let total = total.get();
-    println!("{count} schedules: {total:?}");
-    if count >= SCHEDULES {
-        // Schedules that rarely reach elections, writes, snapshots or changes test too little.
-        let wanted = count as usize;
-        assert!(total.elections > wanted && total.writes > wanted && total.installs > wanted / 10);
-        assert!(total.early_messages > wanted && total.lost_writes > wanted / 10);
-        assert!(!replace || total.changes > wanted / 4);
-    }
+    (count, total.get())
 }
 
 fn memory_disk(_seed: u64) -> Box<dyn Disk> {
@@ -130,6 +146,39 @@
     run_schedules(raft_cluster::member_action(), cluster, true);
 }
 
+/// Replaces the nodes of a group in turn, as fast as each new one is given its time to catch up.
+fn run_replacements(voters: usize) {
+    let (count, total) =
+        play_schedules(REPLACEMENT_SCHEDULES, vec(turn(), 5..20), |seed, turns| {
+            let config = RaftConfig::default();
+            let mut cluster = Cluster::with_config(seed, voters, memory_disk, config);
+            cluster.run(1300)?;
+            for turn in &turns {
+                cluster.replace_node(turn)?;
+            }
+            cluster.finish_rolling()?;
+            Ok(cluster.coverage())
+        });
+    println!("{count} schedules: {total:?}");
+    if count >= REPLACEMENT_SCHEDULES {
+        // Each replacement adds, promotes and removes a member.
+        assert!(total.changes as u64 > 15 * count, "{total:?}");
+    }
+}
+
+/// Guards against replaced voters that add up to a majority, as the silence of each is counted anew by each
+/// leader.
+#[test]
+fn raft_replacements_five_voters() {
+    run_replacements(5);
+}
+
+/// Guards against replacements that leave a small group without a voter to spare.
+#[test]
+fn raft_replacements_three_voters() {
+    run_replacements(3);
+}
+
 /// Guards against a failover that takes longer than the specified 3 seconds.
 #[test]
 fn raft_failover_time() {
--- a/lib/tests/test_raft_member.rs
+++ b/lib/tests/test_raft_member.rs
@@ -21,63 +21,119 @@
     }
 }
 
-/// Guards against removing a failed voter before its replacement votes, which would leave the group
-/// with two voters in the meantime.
+fn voter(id: u64, silent: u64) -> MemberHealth {
+    health(id, id, true, silent, 0)
+}
+
+fn learner(id: u64, instance: u64) -> MemberHealth {
+    health(id, instance, false, 50, 1)
+}
+
+fn promote(id: u64) -> MemberChange {
+    MemberChange::Promote(MemberId(id))
+}
+
+fn remove(id: u64) -> MemberChange {
+    MemberChange::Remove(MemberId(id))
+}
+
+/// Guards against removing a failed voter of a small group before its replacement votes, which would leave the
+/// group with two voters in the meantime.
 #[gtest]
 fn plan_promotes_before_removing() {
     let policy = ReplacementPolicy::default();
-    let mut members = vec![
-        health(1, 1, true, 0, 0),
-        health(2, 2, true, 50, 0),
-        health(3, 3, true, 20_000, 900),
-        health(4, 4, false, 50, 1),
-    ];
-    let promote = MemberChange::Promote(MemberId(4));
-    expect_that!(policy.plan(&members), some(eq(&promote)));
+    let mut members = vec![voter(1, 0), voter(2, 50), voter(3, 20_000), learner(4, 4)];
+    expect_that!(policy.plan(&members), some(eq(&promote(4))));
     members[3].voting = true;
-    let remove = MemberChange::Remove(MemberId(3));
-    expect_that!(policy.plan(&members), some(eq(&remove)));
+    expect_that!(policy.plan(&members), some(eq(&remove(3))));
     members.remove(2);
     expect_that!(policy.plan(&members), none());
 }
 
-/// Guards against the replacement of a voter that is only slow, and against a replacement by a
-/// learner that has not caught up.
+/// Guards against the removal of a voter that is only slow, and against a replacement by a learner that has not
+/// caught up.
 #[gtest]
 fn plan_waits_for_failure_and_catch_up() {
     let policy = ReplacementPolicy::default();
-    let voters = [health(1, 1, true, 0, 0), health(2, 2, true, 50, 0)];
-    let plan = |third, learner| policy.plan(&[&voters[..], &[third, learner]].concat());
-    let slow = health(3, 3, true, 3000, 0);
-    let failed = health(3, 3, true, 20_000, 0);
-    let ready = health(4, 4, false, 50, 0);
-    let lagging = health(4, 4, false, 50, 5000);
-    expect_that!(plan(slow.clone(), ready), none());
-    expect_that!(plan(failed, lagging), none());
-    // The instance of the slow voter came back with an empty data folder.
-    let successor = health(4, 3, false, 50, 0);
-    let promote = MemberChange::Promote(MemberId(4));
-    expect_that!(plan(slow, successor), some(eq(&promote)));
+    let voters = [voter(1, 0), voter(2, 50)];
+    let plan = |others: &[MemberHealth]| policy.plan(&[&voters[..], others].concat());
+    let lagging = health(5, 5, false, 50, 5000);
+    expect_that!(plan(&[voter(3, 20_000), lagging.clone()]), none());
+    expect_that!(plan(&[voter(3, 0), lagging]), none());
+    // Neither an odd nor an even group removes a voter that restarts.
+    expect_that!(plan(&[voter(3, 50), voter(4, 1_400)]), none());
+    expect_that!(plan(&[voter(3, 50), voter(4, 50), voter(5, 9_000)]), none());
+    let silent_learner = health(5, 5, false, 9_000, 0);
+    expect_that!(plan(&[voter(3, 50), silent_learner]), none());
+}
+
+/// Guards against voters that add up while instances are replaced in turn: no voter is added to an even group
+/// beside a silent one, which is removed first.
+#[gtest]
+fn plan_replaces_silent_voter_of_even_group() {
+    let policy = ReplacementPolicy::default();
+    let group = |silent| {
+        let voters = [voter(1, 0), voter(2, 50), voter(3, 50), voter(4, 50)];
+        let others = [voter(5, 50), voter(6, silent), learner(7, 7)];
+        [&voters[..], &others[..]].concat()
+    };
+    expect_that!(policy.plan(&group(1_400)), none());
+    expect_that!(policy.plan(&group(1_500)), some(eq(&remove(6))));
+    expect_that!(policy.plan(&group(50)), some(eq(&promote(7))));
+    // The one that was silent first goes first.
+    let mut two = group(1_600);
+    two[4] = voter(5, 5_000);
+    expect_that!(policy.plan(&two), some(eq(&remove(5))));
+}
+
+/// Guards against a group that removes configured voters, which return under their names, or that waits for the
+/// removal before it lets another one vote.
+#[gtest]
+fn plan_keeps_configured_voters() {
+    let policy = ReplacementPolicy {
+        removes_silent: false,
+        ..ReplacementPolicy::default()
+    };
+    let voters = [voter(1, 0), voter(2, 50), voter(3, 50), voter(4, 20_000)];
+    expect_that!(policy.plan(&voters), none());
+    let with = |member| policy.plan(&[&voters[..], &[member]].concat());
+    expect_that!(with(learner(5, 5)), some(eq(&promote(5))));
+    expect_that!(with(health(5, 5, false, 20_000, 0)), none());
+}
+
+/// Guards against an instance that lost its disk and does not vote again, or votes beside its former self.
+#[gtest]
+fn plan_replaces_lost_disk() {
+    let policy = ReplacementPolicy::default();
+    let voters = [voter(1, 0), voter(2, 50)];
+    let plan = |others: &[MemberHealth]| policy.plan(&[&voters[..], others].concat());
+    let lost = [voter(3, 3_000), learner(9, 8), learner(4, 3)];
+    expect_that!(plan(&lost), some(eq(&remove(3))));
+    expect_that!(plan(&lost[1..]), some(eq(&promote(9))));
 }
 
 /// Guards against voters that failed for good but still count towards the majority, and against
-/// removals that shrink the group below the target number of voters.
+/// removals that shrink the group below three responsive voters.
 #[gtest]
 fn plan_removal_needs_enough_voters() {
     let policy = ReplacementPolicy::default();
-    let voter = |id, silent| health(id, id, true, silent, 0);
     let working = [voter(1, 0), voter(2, 50), voter(3, 50)];
-    let with = |others: &[MemberHealth]| policy.plan_removal(&[&working[..], others].concat());
-    let remove = MemberChange::Remove(MemberId(4));
-    expect_that!(with(&[voter(4, 20_000)]), some(eq(&remove)));
-    expect_that!(
-        with(&[voter(4, 20_000), voter(5, 20_000)]),
-        some(eq(&remove))
-    );
-    expect_that!(with(&[voter(4, 3_000)]), none());
+    let with = |others: &[MemberHealth]| policy.plan(&[&working[..], others].concat());
+    expect_that!(with(&[voter(4, 20_000)]), some(eq(&remove(4))));
+    let two = [voter(4, 21_000), voter(5, 20_000)];
+    expect_that!(with(&two), some(eq(&remove(4))));
+    let slow = [voter(4, 3_000), voter(5, 50)];
+    expect_that!(with(&slow), none());
     expect_that!(with(&[]), none());
     let few = [voter(1, 0), voter(2, 50), voter(3, 20_000)];
-    expect_that!(policy.plan_removal(&few), none());
+    expect_that!(policy.plan(&few), none());
+    let few = [
+        voter(1, 0),
+        voter(2, 50),
+        voter(3, 20_000),
+        voter(4, 20_000),
+    ];
+    expect_that!(policy.plan(&few), none());
 }
 
 /// Generates the time since a member's last response in milliseconds: most members respond, a few
@@ -87,7 +143,8 @@
 }
 
 proptest! {
-    /// Guards against a change after which the responsive voters are not a majority.
+    /// Guards against a change after which the responsive voters are not a majority, or fewer of them may fail
+    /// than before.
     #[test]
     fn plan_keeps_majority(members in prop::collection::vec((prop::bool::weighted(0.7), silence(), 0..100_u64), 3..8)) {
         let policy = ReplacementPolicy::default();
@@ -106,9 +163,13 @@
             Some(MemberChange::Promote(id)) => m.voting || m.id == *id,
             _ => m.voting,
         };
-        let voters = members.iter().filter(votes);
-        let working = voters.clone().filter(|m| m.silent < policy.responsive_within).count();
-        prop_assert!(working > voters.count() / 2);
+        let margin = |voters: Vec<&MemberHealth>| {
+            let working = voters.iter().filter(|m| m.silent < policy.responsive_within);
+            working.count() as i64 - (voters.len() / 2 + 1) as i64
+        };
+        let after = margin(members.iter().filter(votes).collect());
+        prop_assert!(after >= 0);
+        prop_assert!(after >= margin(members.iter().filter(|m| m.voting).collect()));
     }
 }
 
--- a/lib/tests/test_seeds.rs
+++ b/lib/tests/test_seeds.rs
@@ -26,6 +26,9 @@
 const TIMEOUT: Duration = Duration::from_secs(20);
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for which a new instance runs before another one is replaced.
+const CATCH_UP: Duration = Duration::from_secs(4);
+
 struct Member {
     address: SocketAddr,
     store: Option<SimpleStorage>,
@@ -57,7 +60,13 @@
     }
 
     fn launch(&mut self, index: usize, name: &str, bootstrap: bool) {
-        let seeds = self.members[..self.seeds].iter().map(|seed| PeerAddress {
+        let seeds: Vec<usize> = (0..self.seeds).collect();
+        self.launch_with(index, name, bootstrap, &seeds);
+    }
+
+    fn launch_with(&mut self, index: usize, name: &str, bootstrap: bool, seeds: &[usize]) {
+        let seeds = seeds.iter().map(|seed| &self.members[*seed]);
+        let seeds = seeds.map(|seed| PeerAddress {
             name: format!("seed {}", seed.address).into(),
             address: seed.address,
         });
@@ -90,16 +99,27 @@
 
     /// Starts an instance with an empty store at a new address.
     fn add(&mut self, name: &str) -> usize {
+        let seeds: Vec<usize> = (0..self.seeds).collect();
+        self.add_with(name, &seeds)
+    }
+
+    fn add_with(&mut self, name: &str, seeds: &[usize]) -> usize {
         self.members.push(Member {
             address: ports::free_address(),
             store: Some(SimpleStorage::default()),
             thread: None,
         });
         let index = self.members.len() - 1;
-        self.launch(index, name, false);
+        self.launch_with(index, name, false, seeds);
         index
     }
 
+    /// Starts an instance with an empty store that is told of instances which run now.
+    fn add_successor(&mut self, name: &str) -> usize {
+        let running = self.running();
+        self.add_with(name, &running[..self.seeds])
+    }
+
     fn submit(&self, index: usize, command: Command) -> Option<Reply> {
         let control = self.members[index].thread.as_ref()?.control();
         control.submit(command, CALL_TIMEOUT).ok()
@@ -134,6 +154,41 @@
         status.members.iter().filter(|member| member.voting).count()
     }
 
+    /// Returns the names of the voters as an instance knows them.
+    fn voter_names(&self, index: usize) -> Vec<String> {
+        let Some(thread) = &self.members[index].thread else {
+            return Vec::new();
+        };
+        let members = thread.control().status(CALL_TIMEOUT).members;
+        let voters = members.into_iter().filter(|member| member.voting);
+        let mut names: Vec<_> = voters.map(|member| member.instance).collect();
+        names.sort();
+        names
+    }
+
+    /// Returns the member that leads the group.
+    fn leader(&self) -> usize {
+        let leads = |index: &usize| {
+            let thread = self.members[*index].thread.as_ref();
+            thread.is_some_and(|t| t.control().status(CALL_TIMEOUT).role == "leader")
+        };
+        let mut leader = None;
+        wait_until(|| {
+            leader = (0..self.members.len()).find(leads);
+            leader.is_some()
+        });
+        leader.expect("a leader")
+    }
+
+    /// Returns the indexes of the running instances, apart from the one without a data folder.
+    fn running(&self) -> Vec<usize> {
+        let runs = |index: &usize| {
+            let member = &self.members[*index];
+            member.thread.is_some() && member.store.is_some()
+        };
+        (0..self.members.len()).filter(runs).collect()
+    }
+
     fn await_voters(&self, count: usize) {
         wait_until(|| (0..self.members.len()).any(|index| self.voters(index) == count));
     }
@@ -204,13 +259,60 @@
     group.halt(2);
     let new = group.add("j");
     wait_until(|| group.read(new) == Some(2));
-    // The new instance is promoted before the failed voter is removed.
-    group.await_voters(4);
-    wait_until(|| group.voters(new) == 3);
+    wait_until(|| group.voter_names(new) == ["i0", "i1", "j"]);
     group.replace(new, 3);
     expect_that!(group.read(3), some(eq(3)));
 }
 
+/// Replaces each member of a group that leads in turn, until none of the first ones is left, and checks that
+/// the group accepts changes all the time and ends up with the new members.
+fn replace_leaders(is_planned: bool) {
+    let mut group = Group::start(5, 3);
+    group.await_voters(5);
+    group.replace(5, 1);
+    for turn in 0..6 {
+        let planned = is_planned.then(|| group.add_successor(&format!("n{turn}")));
+        if planned.is_some() {
+            thread::sleep(CATCH_UP);
+        }
+        let leader = group.leader();
+        if is_planned {
+            let thread = group.members[leader].thread.take().expect("runs");
+            thread.stop(CALL_TIMEOUT);
+        } else {
+            group.halt(leader);
+        }
+        let new = planned.unwrap_or_else(|| group.add_successor(&format!("n{turn}")));
+        group.replace(new, turn + 2);
+        if planned.is_none() {
+            thread::sleep(CATCH_UP);
+        }
+    }
+    let running = group.running();
+    let last = running[running.len() - 1];
+    wait_until(|| group.voters(last) == 5);
+    for index in &running {
+        expect_that!(group.read(*index), some(eq(7)));
+    }
+    let voters = group.voter_names(last);
+    let is_first = |name: &&String| name.starts_with('i');
+    // One of the six replaced members was itself a new one, unless all leaders were among the first ones.
+    expect_that!(voters.iter().filter(is_first).count(), le(1));
+}
+
+/// Guards against voters that were stopped for good and add up, because each new leader counts their silence
+/// anew.
+#[gtest]
+fn leaders_replaced_in_turn() {
+    replace_leaders(true);
+}
+
+/// The same without a word: each leader is killed before its successor starts.
+#[gtest]
+fn leaders_killed_in_turn() {
+    replace_leaders(false);
+}
+
 /// Guards against an empty instance that bootstraps a group without permission, even if it is a seed.
 #[gtest]
 fn seeds_no_bootstrap_without_permission() {
