Remove learners that ended before their promotion

Seen: a machine that ends before its voter is promoted stays a learner of the group for good; each leader goes on sending to it and names it to all pollers. The silence of a learner that has not answered yet was counted from the election, so the removal alone would have hit new learners at once. The schedules draw learners that end before their promotion. Why it works: a removed learner that comes back is no member, so it asks to join again.

--- a/lib/src/raft.rs
+++ b/lib/src/raft.rs
@@ -300,7 +300,7 @@
         self.check_proposal()?;
         self.check_change(now, &change)?;
         let index = self.append(Payload::Change(change));
-        self.sync_progress();
+        self.sync_progress(now);
         Ok(index)
     }
 
@@ -429,21 +429,19 @@
     /// Returns the health of all members, or nothing unless this member is the leader.
     ///
     /// A member that has not responded in this term counts as silent since one check-quorum window
-    /// before the election.
+    /// before the election, or before it was added.
     pub fn health(&self, now: Instant) -> Vec<MemberHealth> {
         let RoleState::Leader(leader) = &self.state else {
             return Vec::new();
         };
         let last = self.log.last().0;
-        let silent_since_election =
-            now.saturating_duration_since(leader.elected_at) + self.config.check_quorum_window;
+        let window = self.config.check_quorum_window;
         let health = |(id, member): (MemberId, &crate::raft_member::Member)| {
             let progress = leader.progress.get(&id);
             let matched = progress.map_or(last, |p| p.matched.0);
-            let silent = progress.map_or(Duration::ZERO, |p| {
-                p.last_reply.map_or(silent_since_election, |at| {
-                    now.saturating_duration_since(at)
-                })
+            let silent = progress.map_or(Duration::ZERO, |p| match p.last_reply {
+                Some(at) => now.saturating_duration_since(at),
+                None => now.saturating_duration_since(p.since) + window,
             });
             MemberHealth {
                 id,
--- a/lib/src/raft_election.rs
+++ b/lib/src/raft_election.rs
@@ -159,7 +159,7 @@
         self.leader = Some(self.id);
         self.incoming = None;
         self.state = RoleState::Leader(LeaderState::new(first, now));
-        self.sync_progress();
+        self.sync_progress(now);
         self.tick_leader(now);
     }
 
--- a/lib/src/raft_member.rs
+++ b/lib/src/raft_member.rs
@@ -225,7 +225,7 @@
     /// It is longer than the restart of a process, and shorter than the time that a new instance is given
     /// before the next one is replaced.
     pub surplus_after: Duration,
-    /// Time without a response after which any voter counts as failed.
+    /// Time without a response after which any member counts as failed.
     pub failed_after: Duration,
     /// Maximum number of entries that a learner may lack when it is promoted.
     pub max_learner_lag: u64,
@@ -266,8 +266,13 @@
         if let Some(learner) = members.iter().find(|m| self.is_ready(m)) {
             return self.if_majority_responsive(MemberChange::Promote(learner.id), members);
         }
-        let failed = silent.filter(|m| m.silent >= self.failed_after)?;
-        self.if_majority_responsive(MemberChange::Remove(failed.id), members)
+        if let Some(failed) = silent.filter(|m| m.silent >= self.failed_after) {
+            return self.if_majority_responsive(MemberChange::Remove(failed.id), members);
+        }
+        let is_stale = |m: &&MemberHealth| !m.voting && m.silent >= self.failed_after;
+        let stale = members.iter().find(is_stale);
+        let stale = stale.filter(|_| self.removes_silent);
+        stale.map(|m| MemberChange::Remove(m.id))
     }
 
     /// Returns the member whose instance lost its data and came back as a learner that has caught up.
--- a/lib/src/raft_progress.rs
+++ b/lib/src/raft_progress.rs
@@ -75,17 +75,20 @@
     pub(crate) state: ProgressState,
     /// Newest heartbeat round that the member acknowledged.
     pub(crate) acked_round: u64,
+    /// Time from which the leader has sent to it in this term.
+    pub(crate) since: Instant,
     /// Time of its last response in this term.
     pub(crate) last_reply: Option<Instant>,
 }
 
 impl Progress {
-    pub(crate) fn new(next: Index) -> Self {
+    pub(crate) fn new(next: Index, since: Instant) -> Self {
         Self {
             matched: Index(0),
             next,
             state: ProgressState::Probe { waiting: false },
             acked_round: 0,
+            since,
             last_reply: None,
         }
     }
@@ -215,10 +218,16 @@
 
     /// Adds and removes progress records so that they match the membership; entries are sent to new
     /// members from `next` on.
-    pub(crate) fn sync_progress(&mut self, own_id: MemberId, members: &Membership, next: Index) {
+    pub(crate) fn sync_progress(
+        &mut self,
+        now: Instant,
+        own_id: MemberId,
+        members: &Membership,
+        next: Index,
+    ) {
         self.progress.retain(|id, _| members.get(*id).is_some());
         for (id, _) in members.iter().filter(|(id, _)| *id != own_id) {
-            let new = || Progress::new(next);
+            let new = || Progress::new(next, now);
             self.progress.entry(id).or_insert_with(new);
         }
     }
--- a/lib/src/raft_replicate.rs
+++ b/lib/src/raft_replicate.rs
@@ -76,9 +76,9 @@
     }
 
     /// Adds and removes progress records so that they match the membership.
-    pub(crate) fn sync_progress(&mut self) {
+    pub(crate) fn sync_progress(&mut self, now: Instant) {
         if let RoleState::Leader(leader) = &mut self.state {
-            leader.sync_progress(self.id, self.log.members(), self.log.last());
+            leader.sync_progress(now, self.id, self.log.members(), self.log.last());
         }
     }
 
--- a/lib/tests/raft_cluster/rolling.rs
+++ b/lib/tests/raft_cluster/rolling.rs
@@ -67,6 +67,8 @@
     ReturnEmpty,
     /// The disk of the successor is slow.
     SlowDisk,
+    /// Another new node ends before it is promoted.
+    LostLearner,
 }
 
 /// One replacement, and the time in milliseconds until the next one beyond the least.
@@ -103,6 +105,7 @@
         1 => Just(Trouble::Return),
         1 => Just(Trouble::ReturnEmpty),
         1 => Just(Trouble::SlowDisk),
+        1 => Just(Trouble::LostLearner),
     ];
     let pause = prop_oneof![2 => Just(0), 1 => 0..1_000_u16, 1 => 0..12_000_u16];
     (victim, ending, successor, trouble, pause).prop_map(
@@ -319,10 +322,27 @@
                 node.disk = (self.new_disk)(disk);
                 self.start(old);
             }
+            Trouble::LostLearner => {
+                let lost = self.add_running_node(trouble);
+                let id = self.nodes[lost].id;
+                for _ in 0..CATCH_UP_MS / 10 {
+                    if self.is_learner(id) {
+                        break;
+                    }
+                    self.run_maintained(10)?;
+                }
+                self.crash(lost);
+            }
         }
         Ok(())
     }
 
+    fn is_learner(&self, id: MemberId) -> bool {
+        let rafts = self.nodes.iter().filter_map(|node| node.raft.as_ref());
+        let mut leaders = rafts.filter(|raft| raft.is_established());
+        leaders.any(|raft| raft.members().get(id).is_some_and(|m| !m.voting))
+    }
+
     /// Checks that the running voters are a majority even without one of them, and that they acknowledge a
     /// write, which enough disks hold.
     fn check_spare(&mut self) -> Check {
--- a/lib/tests/test_raft_member.rs
+++ b/lib/tests/test_raft_member.rs
@@ -136,6 +136,14 @@
     expect_that!(policy.plan(&few), none());
 }
 
+/// Guards against learners that ended before they were promoted, to which each leader goes on sending.
+#[gtest]
+fn plan_removes_failed_learner() {
+    let policy = ReplacementPolicy::default();
+    let members = [voter(1, 0), voter(2, 50), health(3, 3, false, 10_000, 0)];
+    expect_that!(policy.plan(&members), some(eq(&remove(3))));
+}
+
 /// Generates the time since a member's last response in milliseconds: most members respond, a few
 /// are slow or have failed.
 fn silence() -> impl Strategy<Value = u64> {
