Close an idle connection to an endpoint when it ends or its time has passed

Cause: the pool held a handle that keeps the socket open. The task that reads the connection ended, but the socket did not close. An expired connection was closed only by a call to the same address. Change: the pool holds a handle that does not keep the socket open, so it closes with the task that reads it. Each second, a connection that returns to the pool has those to all endpoints checked, and those closed whose time has passed. Why it works: a connection has one owner, the task that reads it, which ends with the connection.

--- a/lib/src/shared_stream.rs
+++ b/lib/src/shared_stream.rs
@@ -5,6 +5,7 @@
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::Weak;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -32,12 +33,28 @@
         }
     }
 
+    /// Returns a handle that does not keep the stream open.
+    pub(crate) fn downgrade(&self) -> WeakStream {
+        WeakStream(Arc::downgrade(&self.0))
+    }
+}
+
+/// A handle of a TCP stream that does not keep it open.
+///
+/// A pooled connection has no other handle, so that its socket closes when the task that reads it ends.
+#[derive(Clone, Debug)]
+pub(crate) struct WeakStream(Weak<TcpStream>);
+
+impl WeakStream {
     /// Returns whether the stream is open and no received bytes wait to be read.
     ///
     /// This asks the operating system, as an event loop learns of bytes and of the peer's end only when it
     /// polls for events the next time.
     pub(crate) fn is_quiet(&self) -> bool {
-        let peeked = SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit()]);
+        let Some(stream) = self.0.upgrade() else {
+            return false;
+        };
+        let peeked = SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]);
         matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 }
--- a/lib/src/upstream.rs
+++ b/lib/src/upstream.rs
@@ -38,6 +38,7 @@
 use tokio::task::AbortHandle;
 
 use crate::shared_stream::SharedStream;
+use crate::shared_stream::WeakStream;
 use crate::supervision;
 
 /// Maximum time for opening a connection to an endpoint.
@@ -71,6 +72,9 @@
 /// Maximum number of idle connections kept per endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 64;
 
+/// Interval between checks of the idle connections to all endpoints.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Number of identified calls after which a connection is not pooled again, which bounds the memory for
 /// their IDs.
 const MAX_CALLS_PER_CONNECTION: usize = 1_024;
@@ -136,13 +140,47 @@
 /// A client with a connection pool, which clones share.
 #[derive(Clone, Default)]
 pub struct Client {
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>,
+    pool: Arc<Mutex<Pool>>,
+}
+
+/// The idle connections of a client.
+#[derive(Default)]
+struct Pool {
+    idle: HashMap<SocketAddr, Vec<Connection>>,
+    /// Time from which the connections to all endpoints are checked again.
+    sweep_at: Option<Instant>,
+}
+
+impl Pool {
+    /// Closes the connections whose time has passed and forgets those that have ended, also to endpoints that
+    /// are not called any more.
+    fn sweep(&mut self, now: Instant) {
+        if self.sweep_at.is_some_and(|at| now < at) {
+            return;
+        }
+        self.sweep_at = Some(now + SWEEP_INTERVAL);
+        self.idle.retain(|_, connections| {
+            retain_usable(connections, now);
+            !connections.is_empty()
+        });
+    }
+}
+
+/// Closes the connections of a list that cannot be used any more and removes them.
+fn retain_usable(connections: &mut Vec<Connection>, now: Instant) {
+    connections.retain(|connection| {
+        let is_usable = connection.is_usable(now);
+        if !is_usable {
+            connection.task.abort();
+        }
+        is_usable
+    });
 }
 
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
-    stream: SharedStream,
+    stream: WeakStream,
     /// Whether earlier calls used the connection.
     reused: bool,
     /// The identified calls that the connection has carried.
@@ -202,7 +240,7 @@
     address: SocketAddr,
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortOnDrop,
-    stream: SharedStream,
+    stream: WeakStream,
     client: Option<Client>,
 }
 
@@ -278,18 +316,11 @@
     /// Bytes that arrived while a connection was idle belong to no call, and would pass for the response to
     /// this one if it names none.
     fn take_idle(&self, call: &Call<'_>) -> Option<Connection> {
-        let mut idle = supervision::lock(&self.idle);
-        let connections = idle.get_mut(&call.address)?;
-        let now = Instant::now();
-        connections.retain(|connection| {
-            let is_usable = connection.is_usable(now);
-            if !is_usable {
-                connection.task.abort();
-            }
-            is_usable
-        });
+        let mut pool = supervision::lock(&self.pool);
+        let connections = pool.idle.get_mut(&call.address)?;
+        retain_usable(connections, Instant::now());
         if connections.is_empty() {
-            idle.remove(&call.address);
+            pool.idle.remove(&call.address);
             return None;
         }
         let id = call.echo.map(CallHash::from);
@@ -305,10 +336,11 @@
     }
 
     fn put_idle(&self, address: SocketAddr, connection: Connection) {
-        let mut idle = supervision::lock(&self.idle);
-        let connections = idle.entry(address).or_default();
         let now = Instant::now();
-        connections.retain(|c| c.is_usable(now));
+        let mut pool = supervision::lock(&self.pool);
+        pool.sweep(now);
+        let connections = pool.idle.entry(address).or_default();
+        retain_usable(connections, now);
         let has_room = connections.len() < MAX_IDLE_PER_ENDPOINT
             && connection.carried.len() < MAX_CALLS_PER_CONNECTION;
         if has_room && !connection.sender.is_closed() {
@@ -350,7 +382,8 @@
     let _ = stream.set_nodelay(true);
     set_silence_timeouts(&stream);
     let stream = SharedStream::new(stream);
-    let (sender, connection) = http1::handshake(TokioIo::new(stream.clone()))
+    let handle = stream.downgrade();
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|e| unreachable(&e))?;
     let task = tokio::spawn(async move {
@@ -359,7 +392,7 @@
     Ok(Connection {
         sender,
         task: task.abort_handle(),
-        stream,
+        stream: handle,
         reused: false,
         carried: Vec::new(),
         until: Instant::now() + IDLE_TIMEOUT,
--- a/lib/tests/test_upstream.rs
+++ b/lib/tests/test_upstream.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::io::Read as _;
 use std::io::Write as _;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -401,6 +402,146 @@
     }
 }
 
+/// What an endpoint does on a connection after a whole response.
+#[derive(Clone, Copy, Debug)]
+enum AfterResponse {
+    /// It sends bytes without end, from the end of the response or some time later.
+    Flood(Duration),
+    /// It sends one byte.
+    Byte,
+    /// It ends the connection in order.
+    End,
+    /// It resets the connection.
+    Reset,
+    /// It waits for the next call beyond the time for which the connection may be idle.
+    Wait,
+}
+
+/// Time after which the client has pooled the connection of a response.
+const POOLED_AFTER: Duration = Duration::from_millis(30);
+
+/// Responds to one call on a connection, and returns how long the client left the connection open after that.
+fn observe_idle(listener: &TcpListener, after: AfterResponse) -> Duration {
+    let (mut stream, _) = listener.accept().expect("a call");
+    let limit = Some(Duration::from_secs(4));
+    stream.set_read_timeout(limit).expect("timeout");
+    stream.set_write_timeout(limit).expect("timeout");
+    let mut buffer = [b'y'; 16 << 10];
+    let _ = stream.read(&mut buffer);
+    let response = b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=1\r\ncontent-length: 2\r\n\r\nok";
+    match after {
+        AfterResponse::Flood(delay) if delay.is_zero() => {
+            let bytes = [&response[..], &buffer[..]].concat();
+            let _ = stream.write_all(&bytes);
+        }
+        _ => stream.write_all(response).expect("written"),
+    }
+    let mut start = Instant::now();
+    match after {
+        AfterResponse::Flood(delay) => {
+            thread::sleep(delay);
+            start = Instant::now();
+            while stream.write_all(&buffer).is_ok() {}
+            return start.elapsed();
+        }
+        AfterResponse::Byte => {
+            thread::sleep(Duration::from_millis(100));
+            let _ = stream.write_all(b"y");
+        }
+        AfterResponse::End => {
+            thread::sleep(POOLED_AFTER);
+            stream.shutdown(Shutdown::Write).expect("shut down");
+        }
+        AfterResponse::Reset => {
+            thread::sleep(POOLED_AFTER);
+            SockRef::from(&stream)
+                .set_linger(Some(Duration::ZERO))
+                .expect("linger");
+            return Duration::ZERO;
+        }
+        AfterResponse::Wait => {}
+    }
+    while stream.read(&mut buffer).is_ok_and(|n| n > 0) {}
+    start.elapsed()
+}
+
+/// Returns the number of open descriptors of this process.
+fn open_descriptors() -> usize {
+    let entries = std::fs::read_dir("/proc/self/fd").expect("descriptors");
+    entries.count()
+}
+
+/// Guards against an idle connection that stays open, with all that its endpoint sends, until the same endpoint is
+/// called again.
+#[gtest]
+fn idle_connection_closed() {
+    let cases = [
+        AfterResponse::Flood(Duration::ZERO),
+        AfterResponse::Flood(Duration::from_millis(300)),
+        AfterResponse::Byte,
+        AfterResponse::End,
+        AfterResponse::Wait,
+    ];
+    for after in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let address = listener.local_addr().expect("bound");
+        let observed = thread::spawn(move || observe_idle(&listener, after));
+        let other = closing_server(OK, usize::MAX);
+        run(async {
+            let client = Client::default();
+            let answer = client.send(call(address, true)).await;
+            let mut answer = answer.expect("a response");
+            let body = answer.collect(10).await.expect("a complete body");
+            expect_that!(body.bytes, eq(b"ok"), "{after:?}");
+            drop(answer);
+            // Only other endpoints are called from now on.
+            let end = Instant::now() + Duration::from_secs(5);
+            while !observed.is_finished() && Instant::now() < end {
+                let answer = client.send(call(other.address, true)).await;
+                let mut answer = answer.expect("a response");
+                answer.collect(10).await.expect("a complete body");
+                drop(answer);
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        });
+        let open = observed.join().expect("the endpoint ends");
+        let limit = match after {
+            // The stated time, and that of a check.
+            AfterResponse::Wait => Duration::from_millis(2_000),
+            _ => Duration::from_millis(700),
+        };
+        expect_that!(open, lt(limit), "{after:?}");
+    }
+}
+
+/// Guards against descriptors that connections to endpoints which ended keep, each of which was called at an address
+/// of its own.
+#[gtest]
+fn idle_connection_of_ended_endpoint() {
+    for after in [AfterResponse::End, AfterResponse::Reset] {
+        run(async {
+            let client = Client::default();
+            let before = open_descriptors();
+            for _ in 0..100 {
+                let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+                let address = listener.local_addr().expect("bound");
+                let observed = thread::spawn(move || observe_idle(&listener, after));
+                let answer = client.send(call(address, true)).await;
+                let mut answer = answer.expect("a response");
+                answer.collect(10).await.expect("a complete body");
+                drop(answer);
+                while !observed.is_finished() {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            // Other tests of this process open some meanwhile.
+            let opened = open_descriptors().saturating_sub(before);
+            expect_that!(opened, lt(50), "{after:?}");
+        });
+    }
+}
+
 /// Responses by name, of which only the whole one may look complete.
 const CUT_RESPONSES: [&str; 6] = [
     "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 25\r\n\r\nthe whole of the response",
