End a call at its deadline although the caller does not read

Cause: the relay waited for room in the caller's buffer without a limit of time, so it saw neither the deadline nor the engine. The connection of the caller ended only with the write timeout of 30 s. Evidence: on unread_response_ends_at_deadline failed in 8 of its 12 cells (both kinds of plain route with all three framings, both kinds of stream with a length): 1.5 s after the deadline all four calls were still open. Change: sending to the caller ends at the deadline, and with it the engine's connection. A caller that has left the rest of a response that broke off unread for 500 ms is reset (server::HangUp), which frees its buffers. Why it works: each wait of a relay is bounded by the time left now; what was buffered goes with the connection.

--- a/lib/src/answer.rs
+++ b/lib/src/answer.rs
@@ -104,6 +104,11 @@
         self.chunks.send(chunk).await.map_err(|_| Disconnected)
     }
 
+    /// Waits until the connection of the caller has taken all chunks, or has ended.
+    pub async fn taken(&self) {
+        let _ = self.chunks.reserve_many(MAX_BUFFERED_CHUNKS).await;
+    }
+
     /// Waits until the caller has disconnected.
     pub async fn closed(&self) {
         self.chunks.closed().await;
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -53,6 +53,7 @@
 use crate::route_table::RouteTable;
 use crate::rules::Document;
 use crate::server;
+use crate::server::HangUp;
 use crate::server::Request;
 use crate::server::Response;
 use crate::server::Service;
@@ -433,6 +434,7 @@
             excluded: Vec::new(),
             usage_recorded: AtomicBool::new(false),
             stream: None,
+            hang_up: head.extensions.get::<HangUp>().cloned(),
             _guard: guard,
         };
         job.run().await.map_err(|refusal| (id, refusal))
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -41,6 +41,7 @@
 use crate::route_table::EngineSpec;
 use crate::route_table::RetryPolicy;
 use crate::route_table::Route;
+use crate::server::HangUp;
 use crate::server::Response;
 use crate::stream_head::StreamHead;
 use crate::upstream;
@@ -159,6 +160,8 @@
     pub usage_recorded: AtomicBool,
     /// Head of the event stream that the caller is receiving, which all later attempts must continue.
     pub stream: Option<StreamHead>,
+    /// Resets the connection of the caller.
+    pub hang_up: Option<HangUp>,
     pub _guard: OpenRequestGuard,
 }
 
--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -7,8 +7,10 @@
 use std::pin::Pin;
 use std::time::Duration;
 
+use bytes::Bytes;
 use rand::Rng as _;
 use tokio::time::Instant;
+use tokio::time::timeout;
 use tokio::time::timeout_at;
 
 use crate::answer::BodySender;
@@ -41,6 +43,9 @@
 /// connection.
 const MOVE_OUTCOME_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for which the caller of a response that broke off may leave it unread before its connection is reset.
+const UNREAD_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// How the relay of the response of one endpoint ended.
 enum RelayEnd {
     /// The response is complete.
@@ -111,7 +116,10 @@
                     tracing::info!(request = self.info.id, "caller disconnected");
                     return;
                 }
-                RelayEnd::DeadlinePassed => break "the deadline has passed",
+                RelayEnd::DeadlinePassed => {
+                    drop(started);
+                    break "the deadline has passed";
+                }
                 RelayEnd::Broken => ("the endpoint broke off", None),
                 RelayEnd::Silent(next) => ("the endpoint was silent", Some(*next)),
                 RelayEnd::Moved(moved) => ("the run was stopped for a move", Some(*moved)),
@@ -141,6 +149,24 @@
             .settings
             .metrics
             .refused(ResultCode::StreamInterrupted);
+        if timeout(UNREAD_TIMEOUT, sender.taken()).await.is_err()
+            && let Some(hang_up) = &self.hang_up
+        {
+            tracing::info!(
+                request = self.info.id,
+                "caller does not read, connection reset"
+            );
+            hang_up.reset();
+        }
+    }
+
+    /// Sends bytes to the caller, waiting until there is room in its buffer or the deadline has passed.
+    async fn send_to_caller(&self, bytes: Bytes, sender: &BodySender) -> Result<(), RelayEnd> {
+        match timeout(self.time_left(), sender.send(bytes)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(RelayEnd::Disconnected),
+            Err(_) => Err(RelayEnd::DeadlinePassed),
+        }
     }
 
     /// Returns whether another endpoint may continue the response after an interruption.
@@ -206,8 +232,8 @@
                     }
                 };
                 if !bytes.is_empty() {
-                    if sender.send(bytes).await.is_err() {
-                        return RelayEnd::Disconnected;
+                    if let Err(end) = self.send_to_caller(bytes, sender).await {
+                        return end;
                     }
                     silence.restart(Instant::now());
                 }
@@ -306,9 +332,12 @@
                 }
                 Ok(Ok(_)) => {
                     let remainder = framer.take_partial();
-                    match remainder.is_empty() || sender.send(remainder).await.is_ok() {
+                    match remainder.is_empty() {
                         true => RelayEnd::Complete,
-                        false => RelayEnd::Disconnected,
+                        false => match self.send_to_caller(remainder, sender).await {
+                            Ok(()) => RelayEnd::Complete,
+                            Err(end) => end,
+                        },
                     }
                 }
                 Ok(Err(error)) => {
--- a/lib/src/server.rs
+++ b/lib/src/server.rs
@@ -32,6 +32,7 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Sleep;
 
@@ -86,6 +87,20 @@
 /// A response to a caller.
 pub type Response = http::Response<Body>;
 
+/// A handle with which a service resets the connection of a request.
+///
+/// A peer that does not read what was sent to it keeps its connection, and the bytes for it, until the write
+/// timeout otherwise.
+#[derive(Clone, Debug, Default)]
+pub struct HangUp(Arc<Notify>);
+
+impl HangUp {
+    /// Resets the connection.
+    pub fn reset(&self) {
+        self.0.notify_one();
+    }
+}
+
 /// Handles requests.
 pub trait Service: Send + Sync + 'static {
     /// Handles a request; an error closes the connection without a response.
@@ -302,8 +317,11 @@
     };
     let knows_chunks = Arc::new(AtomicBool::new(true));
     let knows_chunks_now = knows_chunks.clone();
-    let handler = service_fn(move |request: Request| {
+    let hang_up = HangUp::default();
+    let handle = hang_up.clone();
+    let handler = service_fn(move |mut request: Request| {
         let service = service.clone();
+        request.extensions_mut().insert(handle.clone());
         knows_chunks_now.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
         async move { service.call(request).await }
     });
@@ -322,6 +340,7 @@
                 }
                 return;
             }
+            () = hang_up.0.notified() => return stream.reset_on_close(),
             changed = phase.changed(), if is_phase_open => {
                 is_phase_open = changed.is_ok();
                 let now = *phase.borrow_and_update();
