Bound the memory that all responses of a process buffer together

Cause: each call was bounded, but not their sum, and the bounds of one added up: up to 417 KB at a time from the engine, 256 KB of a plain body, 16 chunks of any size for the caller. Change: at most 16 KB are read from a connection at a time, which bounds a response head as well. What calls buffer comes from 4 MB that they share. A call that finds no room sends chunk by chunk, so callers that do not read hold up nobody else. A plain body that finds none is streamed instead of buffered. Why it works: beyond the common part, each call holds one read and one chunk, whatever its engine sends and its caller reads.

--- a/lib/src/answer.rs
+++ b/lib/src/answer.rs
@@ -20,6 +20,8 @@
 use http::header::RETRY_AFTER;
 use http_body_util::BodyExt as _;
 use hyper::body::Frame;
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
 use tokio::sync::mpsc;
 
 use crate::ids::RequestId;
@@ -37,6 +39,26 @@
 /// Number of body chunks that are buffered until the caller reads them.
 pub const MAX_BUFFERED_CHUNKS: usize = 16;
 
+/// Maximum size of the bodies that all calls of the process buffer together, beyond one chunk of each.
+///
+/// It is a small part of the memory of an entry, and more than the bodies of many callers that read slowly. Calls that
+/// find no room send chunk by chunk.
+const MAX_BUFFERED_BYTES: usize = 4 << 20;
+
+/// Bytes that may still be buffered.
+static FREE_BYTES: Semaphore = Semaphore::const_new(MAX_BUFFERED_BYTES);
+
+/// Bytes of the common buffer, which are free again when this is dropped.
+pub(crate) type HeldBytes = SemaphorePermit<'static>;
+
+/// Takes room in the common buffer, if there is enough.
+pub(crate) fn try_hold(bytes: usize) -> Option<HeldBytes> {
+    FREE_BYTES.try_acquire_many(bytes.try_into().ok()?).ok()
+}
+
+/// A buffered chunk, and the room that it takes.
+type BufferedChunk = (Bytes, Option<HeldBytes>);
+
 /// Header that carries the request ID.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
@@ -62,7 +84,7 @@
 /// It ends complete only if its sender says so. Otherwise it ends with an error, which aborts the connection,
 /// so that a body whose writer panicked or was cancelled never looks complete.
 struct ChannelBody {
-    chunks: mpsc::Receiver<Bytes>,
+    chunks: mpsc::Receiver<BufferedChunk>,
     is_complete: Arc<AtomicBool>,
 }
 
@@ -76,7 +98,7 @@
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         let chunk = ready!(self.chunks.poll_recv(context));
         Poll::Ready(match chunk {
-            Some(chunk) => Some(Ok(Frame::data(chunk))),
+            Some((chunk, _)) => Some(Ok(Frame::data(chunk))),
             // The flag was set before the sender was dropped, which closed the channel.
             None if self.is_complete.load(Ordering::Acquire) => None,
             None => Some(Err(io::ErrorKind::UnexpectedEof.into())),
@@ -94,14 +116,28 @@
 /// Dropping it without [`BodySender::complete`] breaks the body off after the chunks sent so far.
 #[derive(Debug)]
 pub struct BodySender {
-    chunks: mpsc::Sender<Bytes>,
+    chunks: mpsc::Sender<BufferedChunk>,
     is_complete: Arc<AtomicBool>,
 }
 
 impl BodySender {
     /// Sends a chunk, waiting until there is room in the buffer.
+    ///
+    /// If the common buffer is full, the chunk waits until the connection has taken all earlier ones, so that
+    /// callers which do not read hold up nobody else.
     pub async fn send(&self, chunk: Bytes) -> Result<(), Disconnected> {
-        self.chunks.send(chunk).await.map_err(|_| Disconnected)
+        let held = try_hold(chunk.len());
+        let room = if held.is_some() {
+            1
+        } else {
+            MAX_BUFFERED_CHUNKS
+        };
+        let permits = self.chunks.reserve_many(room).await;
+        let mut permits = permits.map_err(|_| Disconnected)?;
+        if let Some(permit) = permits.next() {
+            permit.send((chunk, held));
+        }
+        Ok(())
     }
 
     /// Waits until the connection of the caller has taken all chunks, or has ended.
--- a/lib/src/forward_response.rs
+++ b/lib/src/forward_response.rs
@@ -42,11 +42,16 @@
         let (status, headers) = (answer.status, end_to_end_headers(&answer.headers));
         let mut buffered = first.map_or_else(Vec::new, Vec::from);
         let left = self.answer_time_left();
+        let mut held = Vec::new();
         let read_all = timeout(left, async {
             while buffered.len() <= MAX_BUFFERED_BYTES {
-                match answer.next().await? {
-                    Some(chunk) => buffered.extend_from_slice(&chunk),
-                    None => return Ok::<_, io::Error>(true),
+                let Some(chunk) = answer.next().await? else {
+                    return Ok::<_, io::Error>(true);
+                };
+                buffered.extend_from_slice(&chunk);
+                match answer::try_hold(chunk.len()) {
+                    Some(room) => held.push(room),
+                    None => break,
                 }
             }
             Ok(false)
@@ -72,6 +77,7 @@
                 Ok(build_response(status, headers, server::full(buffered)))
             }
             Ok(Ok(false)) => {
+                drop(held);
                 let started = StartedResponse {
                     answer,
                     guard,
--- a/lib/src/upstream.rs
+++ b/lib/src/upstream.rs
@@ -69,6 +69,11 @@
 /// It is several times a round trip in which two packets are lost.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Maximum size of a response head, and of the bytes that are read from a connection at a time.
+///
+/// Each call in progress may hold this much, whatever its endpoint sends.
+const MAX_READ_BYTES: usize = 16 << 10;
+
 /// Maximum number of idle connections kept per endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 64;
 
@@ -383,7 +388,9 @@
     set_silence_timeouts(&stream);
     let stream = SharedStream::new(stream);
     let handle = stream.downgrade();
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_READ_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|e| unreachable(&e))?;
     let task = tokio::spawn(async move {
