Replace voters in a soak test of real processes

Change: soak_replaced_voters replaces voters in turn, mostly the leader, each by an empty one at another address that starts 4 s before the old one gets SIGTERM, while entries stop, engines pause and leave, and the configuration changes. The schedules of soak_rolling_stop stay as they are.

--- a/cli/tests/test_soak.rs
+++ b/cli/tests/test_soak.rs
@@ -59,26 +59,37 @@
 /// twice, run although they were refused, or follow an old configuration.
 #[gtest]
 fn soak_rolling_stop() {
+    play_seeds(VOTERS, &STEPS);
+}
+
+/// Guards against a configuration that is not acknowledged or not in force, and against answers that are lost,
+/// while the voters are replaced in turn.
+#[gtest]
+fn soak_replaced_voters() {
+    play_seeds(5, &REPLACEMENT_STEPS);
+}
+
+fn play_seeds(voters: usize, steps: &[Step]) {
     let first = variable("FULMARFORD_SOAK_FIRST", 1);
     let length = Duration::from_secs(variable("FULMARFORD_SOAK_SECONDS", DEFAULT_SECONDS));
     for seed in first..first + variable("FULMARFORD_SOAK_SEEDS", 1) {
-        let findings = play(seed, length);
+        let findings = play(seed, length, voters, steps);
         println!("seed {seed}: {findings}");
         expect_that!(findings.list.len(), eq(0), "seed {seed}");
     }
 }
 
 /// Plays one seed and returns what broke.
-fn play(seed: u64, length: Duration) -> Findings {
+fn play(seed: u64, length: Duration, voters: usize, steps: &[Step]) -> Findings {
     let mut draw = StdRng::seed_from_u64(seed);
     let engines = Engines::start(ENGINES);
-    let processes = Processes::start(VOTERS, ENTRIES, engines.platform);
+    let processes = Processes::start(voters, ENTRIES, engines.platform);
     let operator = Operator::new(processes.controls());
     operator.replace(1);
     thread::sleep(WARM_UP);
     let over = Arc::new(AtomicBool::new(false));
     let callers = Callers::default();
-    let seeds: Vec<u64> = (0..CALLERS + STEPS.len()).map(|_| draw.random()).collect();
+    let seeds: Vec<u64> = (0..CALLERS + steps.len()).map(|_| draw.random()).collect();
     thread::scope(|scope| {
         let (over, callers) = (over.as_ref(), &callers);
         let (engines, processes, operator) = (&engines, &processes, &operator);
@@ -86,7 +97,7 @@
             let draw = StdRng::seed_from_u64(*seed);
             scope.spawn(move || callers.call(number, draw, processes, over));
         }
-        for (step, seed) in STEPS.into_iter().zip(&seeds[CALLERS..]) {
+        for (step, seed) in steps.iter().zip(&seeds[CALLERS..]) {
             let mut play = Play {
                 draw: StdRng::seed_from_u64(*seed),
                 over,
@@ -117,8 +128,20 @@
     callers: &'a Callers,
 }
 
+/// One kind of disturbance, which goes on until the run is over.
+type Step = fn(&mut Play<'_>);
+
+/// What goes on beside the callers while voters are replaced.
+const REPLACEMENT_STEPS: [Step; 5] = [
+    |play| play.replace_voters(),
+    |play| play.change_configuration(),
+    |play| play.probe_configuration(),
+    |play| play.stop_entries(),
+    |play| play.disturb_engines(),
+];
+
 /// What goes on beside the callers.
-const STEPS: [fn(&mut Play<'_>); 6] = [
+const STEPS: [Step; 6] = [
     |play| play.stop_entries(),
     |play| play.disturb_engines(),
     |play| play.freeze_entries(),
@@ -137,6 +160,20 @@
         !self.over.load(Ordering::Relaxed)
     }
 
+    /// Replaces voters in turn, mostly the one that leads.
+    fn replace_voters(&mut self) {
+        while self.pause(0..1_500) {
+            let victim = self
+                .draw
+                .random_bool(0.3)
+                .then(|| self.draw.random_range(0..8));
+            if !self.processes.replace_voter(victim) {
+                return;
+            }
+            self.operator.set_controls(self.processes.controls());
+        }
+    }
+
     /// Stops entries in turn, sometimes two at a time.
     fn stop_entries(&mut self) {
         let mut entry = self.draw.random_range(0..ENTRIES);
