--- a/lib/tests/test_seeds.rs
+++ b/lib/tests/test_seeds.rs
@@ -166,6 +166,12 @@
         names
     }
 
+    /// Returns the name of a running instance.
+    fn name(&self, index: usize) -> String {
+        let thread = self.members[index].thread.as_ref().expect("runs");
+        thread.control().status(CALL_TIMEOUT).instance
+    }
+
     /// Returns the member that leads the group.
     fn leader(&self) -> usize {
         let leads = |index: &usize| {
@@ -264,8 +270,8 @@
     expect_that!(group.read(3), some(eq(3)));
 }
 
-/// Replaces each member of a group that leads in turn, until none of the first ones is left, and checks that
-/// the group accepts changes all the time and ends up with the new members.
+/// Replaces the member that leads a group six times, and checks that the group accepts changes all the time and
+/// ends up with the members that run.
 fn replace_leaders(is_planned: bool) {
     let mut group = Group::start(5, 3);
     group.await_voters(5);
@@ -290,14 +296,13 @@
     }
     let running = group.running();
     let last = running[running.len() - 1];
-    wait_until(|| group.voters(last) == 5);
+    // Which members are left depends on the elections, since a new one may have led as well.
+    let mut names: Vec<_> = running.iter().map(|index| group.name(*index)).collect();
+    names.sort();
+    wait_until(|| group.voter_names(last) == names);
     for index in &running {
         expect_that!(group.read(*index), some(eq(7)));
     }
-    let voters = group.voter_names(last);
-    let is_first = |name: &&String| name.starts_with('i');
-    // One of the six replaced members was itself a new one, unless all leaders were among the first ones.
-    expect_that!(voters.iter().filter(is_first).count(), le(1));
 }
 
 /// Guards against voters that were stopped for good and add up, because each new leader counts their silence
