--- a/cli/tests/test_soak.rs
+++ b/cli/tests/test_soak.rs
@@ -22,6 +22,8 @@
 mod site;
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -69,7 +71,12 @@
     play_seeds(5, &REPLACEMENT_STEPS);
 }
 
+/// Held by the test that plays, as each one needs the processors of the machine.
+static PLAYING: Mutex<()> = Mutex::new(());
+
 fn play_seeds(voters: usize, steps: &[Step]) {
+    // A failure of the other test does not matter here.
+    let _playing = PLAYING.lock().unwrap_or_else(PoisonError::into_inner);
     let first = variable("FULMARFORD_SOAK_FIRST", 1);
     let length = Duration::from_secs(variable("FULMARFORD_SOAK_SECONDS", DEFAULT_SECONDS));
     for seed in first..first + variable("FULMARFORD_SOAK_SEEDS", 1) {
