Replicate the evacuation of zones and acknowledge its orders

The operators' calls that start and finish the evacuation of a zone got 404 (code 1005), so a valid order was never acknowledged and nothing kept it.

Command::SetEvacuation names no version: an order that changes nothing is acknowledged, and of orders that cross the later one in the log holds. The reply is kept under an id that the instance draws, so a duplicate that a retry inside the group left behind undoes no newer order. The acknowledgement waits as that of a configuration does. Evacuations are no lines: a rules file and a new configuration keep them. The candidates of a route leave out endpoints of evacuated zones, which the balancer uses.

--- a/lib/src/command.rs
+++ b/lib/src/command.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::code::ResultCode;
+use crate::evacuation;
 use crate::ids::ChangeId;
 use crate::ids::ClassId;
 use crate::ids::EndpointId;
@@ -148,6 +149,8 @@
         /// Fingerprints of the parts.
         fingerprints: Vec<u64>,
     },
+    /// Starts or ends the evacuation of a zone, whatever the version of the rules is.
+    SetEvacuation(EvacuationOrder),
 }
 
 impl Command {
@@ -156,6 +159,7 @@
         match self {
             Self::Apply(change) => change.edits.clone(),
             Self::ReplaceDocument(document) => vec![document_edit(document)],
+            Self::SetEvacuation(order) => vec![evacuation::edit(&order.zone, order.is_active)],
             _ => Vec::new(),
         }
     }
@@ -186,6 +190,28 @@
     pub grace: u64,
 }
 
+/// An operator's order to evacuate a zone, or to end that (`docs/design/evacuation.md`).
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationOrder {
+    /// Id of this submission, so that a late duplicate of it undoes no newer order.
+    pub id: ChangeId,
+    /// The zone.
+    pub zone: ZoneId,
+    /// Whether endpoints of the zone get no new requests from now on.
+    pub is_active: bool,
+}
+
+impl EvacuationOrder {
+    /// Creates an order under a new id.
+    pub fn new(zone: ZoneId, is_active: bool) -> Self {
+        Self {
+            id: format!("evacuation-{:032x}", rand::random::<u128>()).into(),
+            zone,
+            is_active,
+        }
+    }
+}
+
 /// A change of the rules.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Change {
--- a/lib/src/control_core.rs
+++ b/lib/src/control_core.rs
@@ -696,6 +696,7 @@
             | Command::LiftQuarantine { .. }
             | Command::SuspectParts { .. }
             | Command::ClearParts { .. }
+            | Command::SetEvacuation(_)
     )
 }
 
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -223,12 +223,19 @@
 }
 
 /// A request of an operator.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OperatorCall {
     /// Replaces the configuration document.
     Replace,
     /// Returns the latest configuration document.
     Read,
+    /// Starts or ends the evacuation of a zone ([`crate::evacuation`]).
+    SetEvacuation {
+        /// Name of the zone as the operator wrote it.
+        zone: String,
+        /// Whether the evacuation starts.
+        is_active: bool,
+    },
 }
 
 /// An order for endpoints of a service in one availability zone.
@@ -286,8 +293,10 @@
     /// Returns whether the path is that of the readiness probe.
     fn is_probe(&self, path: &str) -> bool;
 
-    /// Returns the operator's request that a method and path stand for, if any.
-    fn operator_call(&self, method: &Method, path: &str) -> Option<OperatorCall>;
+    /// Returns the operator's request that a method and path stand for, if any, or why its path cannot be
+    /// parsed.
+    fn operator_call(&self, method: &Method, path: &str)
+    -> Option<Result<OperatorCall, Malformed>>;
 
     /// Returns the call that fetches a page of the list of endpoints; without `page` the first one.
     fn list_call(&self, page: Option<&str>) -> PlatformCall;
--- a/lib/src/document_service.rs
+++ b/lib/src/document_service.rs
@@ -1,4 +1,4 @@
-//! HTTP service through which operators replace and read the configuration document.
+//! HTTP service through which operators replace and read the configuration document, and evacuate zones.
 //!
 //! The adapter ([`Dialect`]) defines the paths and the format. A document is validated before it is
 //! proposed, so only valid documents are replicated. A read goes through the replicated log and therefore
@@ -7,7 +7,8 @@
 //!
 //! An acknowledgement starts the time within which callers expect the document to take effect. Therefore it
 //! waits until all instances with a view lease hold the document, but not so long that operators give up
-//! the call (`docs/platform.md`, "Life of a configuration").
+//! the call (`docs/platform.md`, "Life of a configuration"). Orders to evacuate a zone are acknowledged
+//! likewise (`docs/design/evacuation.md`).
 
 use std::io;
 use std::sync::Arc;
@@ -21,11 +22,13 @@
 use crate::cluster_control::ClusterControl;
 use crate::code::ResultCode;
 use crate::command::Command;
+use crate::command::EvacuationOrder;
 use crate::command::Reply;
 use crate::control::Control;
 use crate::control_shared::remaining;
 use crate::dialect::Dialect;
 use crate::dialect::OperatorCall;
+use crate::evacuation;
 use crate::rules::Document;
 use crate::server::Request;
 use crate::server::Response;
@@ -41,11 +44,11 @@
 /// Timeout for applying a command. Operators abandon a request after one second and try another instance.
 const APPLY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Time from the receipt of a document after which it is acknowledged although instances that hold a view lease
+/// Time from the receipt of a document or an order after which it is acknowledged although instances that hold a view lease
 /// have not polled it; the rest of the second for which operators wait is for the way back.
 const MAX_SETTLE_TIME: Duration = Duration::from_millis(750);
 
-/// Handles the operators' requests to replace and read the configuration document.
+/// Handles the operators' requests about the configuration document and the evacuation of zones.
 pub struct DocumentService {
     /// The control state.
     pub control: ClusterControl,
@@ -57,9 +60,13 @@
     async fn handle(&self, request: Request) -> Response {
         let path = request.uri().path();
         let call = self.dialect.operator_call(request.method(), path);
-        let result = match call {
-            Some(OperatorCall::Replace) => self.replace(request).await,
-            Some(OperatorCall::Read) => self.read().await,
+        let result = match call.clone() {
+            Some(Ok(OperatorCall::Replace)) => self.replace(request).await,
+            Some(Ok(OperatorCall::Read)) => self.read().await,
+            Some(Ok(OperatorCall::SetEvacuation { zone, is_active })) => {
+                self.set_evacuation(&zone, is_active).await
+            }
+            Some(Err(error)) => Err((ResultCode::BadRequest, error.to_string())),
             None => Err((ResultCode::UnknownRoute, String::new())),
         };
         result.unwrap_or_else(|(code, message)| {
@@ -108,6 +115,31 @@
         }
     }
 
+    async fn set_evacuation(
+        &self,
+        zone: &str,
+        is_active: bool,
+    ) -> Result<Response, (ResultCode, String)> {
+        let received = Instant::now();
+        let zone = evacuation::check_zone(zone)
+            .map_err(|error| (ResultCode::BadRequest, error.to_string()))?;
+        let order = EvacuationOrder::new(zone.clone(), is_active);
+        match self.submit(Command::SetEvacuation(order)).await? {
+            Reply::Applied { version } => {
+                let is_in_force = self.settle(version, received + MAX_SETTLE_TIME).await;
+                let ack_ms = received.elapsed().as_millis() as u64;
+                let message = match is_active {
+                    true => "evacuation started",
+                    false => "evacuation ended",
+                };
+                tracing::info!(%zone, view = version.0, is_in_force, ack_ms, message);
+                Ok(answer::plain(200, answer::JSON, "{}"))
+            }
+            Reply::Refused { code, message } => Err((code, message)),
+            reply => Err((ResultCode::Internal, format!("unexpected reply {reply:?}"))),
+        }
+    }
+
     async fn read(&self) -> Result<Response, (ResultCode, String)> {
         match self.submit(Command::ReadDocument).await? {
             Reply::Document(Some(document)) => {
@@ -128,7 +160,7 @@
         let timeout = remaining(deadline);
         let settled = tokio::task::spawn_blocking(move || control.await_version(version, timeout));
         settled.await.unwrap_or_else(|error| {
-            tracing::warn!(%error, "cannot wait until a configuration is in force");
+            tracing::warn!(%error, "cannot wait until a version is in force");
             false
         })
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod duties;
 pub mod endpoint_limit;
 pub mod endpoint_planner;
+pub mod evacuation;
 pub mod event_framer;
 pub mod explain;
 pub mod fair_timeout;
--- a/lib/src/rule_diff.rs
+++ b/lib/src/rule_diff.rs
@@ -21,10 +21,12 @@
 }
 
 /// Returns the edits that transform `from` into `to`, without edits of unchanged rules.
+///
+/// Rules that are not written as lines are kept, since their absence from a file says nothing.
 pub fn edits(from: &View, to: &View) -> Vec<Edit> {
     let removed = from
         .rules()
-        .filter(|rule| to.rule(&rule.key).is_none())
+        .filter(|rule| rule.key.kind.has_lines() && to.rule(&rule.key).is_none())
         .map(|rule| Edit::Remove(rule.key.clone()));
     let set = to
         .rules()
--- a/lib/src/rule_state.rs
+++ b/lib/src/rule_state.rs
@@ -14,9 +14,11 @@
 
 use crate::code::ResultCode;
 use crate::command::Change;
+use crate::command::EvacuationOrder;
 use crate::command::Reply;
 use crate::command::Timestamp;
 use crate::command::document_edit;
+use crate::evacuation;
 use crate::ids::ChangeId;
 use crate::rules::Document;
 use crate::rules::Rule;
@@ -40,6 +42,9 @@
 /// Maximum length of a change id and of an author in bytes.
 pub const MAX_NAME_BYTES: usize = 256;
 
+/// Author of the change that an order of an evacuation makes; such orders name no person.
+const EVACUATION_AUTHOR: &str = "operator";
+
 /// Maximum length in characters of the stored message of a rejected change.
 const MAX_MESSAGE_CHARS: usize = 512;
 
@@ -156,14 +161,24 @@
             return refused(ResultCode::BadRequest, "change id or author is too long");
         }
         let content = content_hash(change);
-        if let Some(recorded) = self.replies.get(&change.id) {
+        self.reply_once(&change.id, content, |state| state.decide(at, change))
+    }
+
+    /// Returns the stored reply to a submission, or decides it and stores the reply.
+    fn reply_once(
+        &mut self,
+        id: &ChangeId,
+        content: u64,
+        decide: impl FnOnce(&mut Self) -> Reply,
+    ) -> Reply {
+        if let Some(recorded) = self.replies.get(id) {
             if recorded.content == content {
                 return recorded.reply.clone();
             }
-            return refused(ResultCode::ChangeIdReused, change.id.as_str());
+            return refused(ResultCode::ChangeIdReused, id.as_str());
         }
-        let reply = self.decide(at, change);
-        self.record_reply(change.id.clone(), content, &reply);
+        let reply = decide(self);
+        self.record_reply(id.clone(), content, &reply);
         reply
     }
 
@@ -214,6 +229,37 @@
         Reply::Applied { version }
     }
 
+    /// Starts or ends the evacuation of a zone; an order that changes nothing leaves the version as it is.
+    ///
+    /// The order names no version: of orders that cross, the later one in the log holds.
+    pub fn set_evacuation(&mut self, at: Timestamp, order: &EvacuationOrder) -> Reply {
+        let content = content_hash(order);
+        self.reply_once(&order.id, content, |state| {
+            state.decide_evacuation(at, order)
+        })
+    }
+
+    fn decide_evacuation(&mut self, at: Timestamp, order: &EvacuationOrder) -> Reply {
+        let current = self.view.version();
+        if self.view.evacuated_zones().contains(&order.zone) == order.is_active {
+            return Reply::Applied { version: current };
+        }
+        let version = Version(current.0 + 1);
+        let edits = vec![evacuation::edit(&order.zone, order.is_active)];
+        match apply_edits(&self.view, &edits, version) {
+            Ok(view) => self.view = view,
+            Err(error) => return refused(ResultCode::InvalidRules, &error.to_string()),
+        }
+        self.push_change(CommittedChange {
+            version,
+            id: order.id.clone(),
+            author: EVACUATION_AUTHOR.to_owned(),
+            at,
+            edits,
+        });
+        Reply::Applied { version }
+    }
+
     fn push_change(&mut self, change: CommittedChange) {
         self.change_bytes += change.approximate_bytes();
         self.changes.push_back(change);
@@ -270,9 +316,9 @@
     Reply::Refused { code, message }
 }
 
-/// Hashes a change with SHA-256, because the hash must be the same in all releases.
-fn content_hash(change: &Change) -> u64 {
-    let bytes = postcard::to_stdvec(change).expect("changes can be encoded");
+/// Hashes a submission with SHA-256, because the hash must be the same in all releases.
+fn content_hash(submission: &impl Serialize) -> u64 {
+    let bytes = postcard::to_stdvec(submission).expect("submissions can be encoded");
     let digest: [u8; 32] = Sha256::digest(bytes).into();
     u64::from_le_bytes(digest[..8].try_into().expect("the slice has 8 bytes"))
 }
--- a/lib/src/rules.rs
+++ b/lib/src/rules.rs
@@ -211,6 +211,8 @@
     Endpoint(Endpoint),
     /// A configuration document.
     Document(Document),
+    /// The evacuation of a zone.
+    Evacuation(ZoneId),
 }
 
 /// Kind of a rule, the first word of its line.
@@ -233,6 +235,16 @@
     Endpoint,
     /// A configuration document, which cannot be written as a line.
     Document,
+    /// The evacuation of a zone, which is ordered and not written as a line, so that no rules file ends or
+    /// repeats it.
+    Evacuation,
+}
+
+impl RuleKind {
+    /// Returns whether rules of this kind are written as lines, so that a rules file lists all of them.
+    pub fn has_lines(self) -> bool {
+        !matches!(self, Self::Document | Self::Evacuation)
+    }
 }
 
 /// Identity of a rule. Setting a rule replaces an existing one with the same identity.
@@ -344,11 +356,11 @@
             concurrency: fields.optional("concurrency", parse_positive_integer)?,
         }),
         RuleKind::Endpoint => RuleBody::Endpoint(parse_endpoint(&name, &mut fields)?),
-        // Not returned by `RuleFields::kind`, because a document cannot be written as a line.
-        RuleKind::Document => {
+        // Not returned by `RuleFields::kind`, because these cannot be written as lines.
+        RuleKind::Document | RuleKind::Evacuation => {
             return Err(error(
                 1,
-                "a document cannot be written as a rule".to_owned(),
+                format!("`{kind}` cannot be written as a rule"),
                 "send it through the interface that it came from".to_owned(),
             ));
         }
--- a/lib/src/simple_state.rs
+++ b/lib/src/simple_state.rs
@@ -9,6 +9,7 @@
 use crate::command::Change;
 use crate::command::Command;
 use crate::command::CrashReport;
+use crate::command::EvacuationOrder;
 use crate::command::Incarnation;
 use crate::command::IntentKey;
 use crate::command::IntentStart;
@@ -23,6 +24,7 @@
 use crate::command::Window;
 use crate::command::document_edit;
 use crate::control::Suspicion;
+use crate::evacuation;
 use crate::ids::EndpointId;
 use crate::ids::RequestId;
 use crate::intent;
@@ -67,6 +69,7 @@
     rules: BTreeMap<RuleKey, Rule>,
     version: u64,
     replies: Vec<(Change, Reply)>,
+    evacuations: Vec<(EvacuationOrder, Reply)>,
     intents: Vec<IntentRecord>,
     crashes: Vec<CrashRecord>,
     /// Sequence number of the last usage report of each entry, and its time in milliseconds.
@@ -113,6 +116,7 @@
             Command::PlaceOrder(order) => self.place_order(order),
             Command::CloseOrder { order, state } => self.close_order(*order, *state),
             Command::ReplaceDocument(document) => self.replace_document(document),
+            Command::SetEvacuation(order) => self.set_evacuation(order),
             Command::ReadDocument => Reply::Document(self.document()),
             // The model supports only the default window length and grace time.
             Command::SetUsageTerms(_) => Reply::Done,
@@ -152,6 +156,28 @@
         }
     }
 
+    /// The model supports only ids that no change has.
+    fn set_evacuation(&mut self, order: &EvacuationOrder) -> Reply {
+        let earlier = self.evacuations.iter().find(|(o, _)| o.id == order.id);
+        if let Some((earlier, reply)) = earlier {
+            if earlier == order {
+                return reply.clone();
+            }
+            return refused(ResultCode::ChangeIdReused, order.id.as_str().to_owned());
+        }
+        let rules = self.rules.clone();
+        match evacuation::edit(&order.zone, order.is_active) {
+            Edit::Set(rule) => drop(self.rules.insert(rule.key.clone(), rule)),
+            Edit::Remove(key) => drop(self.rules.remove(&key)),
+        }
+        self.version += u64::from(rules != self.rules);
+        let reply = Reply::Applied {
+            version: Version(self.version),
+        };
+        self.evacuations.push((order.clone(), reply.clone()));
+        reply
+    }
+
     /// Returns the rules in the order of their keys.
     pub fn rules(&self) -> impl Iterator<Item = &Rule> {
         self.rules.values()
--- a/lib/src/state.rs
+++ b/lib/src/state.rs
@@ -138,6 +138,7 @@
             }
             Command::CloseOrder { order, state } => parts.orders.close(*order, *state),
             Command::ReplaceDocument(document) => self.rules.replace_document(document),
+            Command::SetEvacuation(order) => self.rules.set_evacuation(now, order),
             Command::ReadDocument => Reply::Document(self.rules.document()),
             Command::SetUsageTerms(terms) => parts.usage.set_terms(*terms),
             Command::Quarantine { fingerprint } => {
--- a/lib/src/view.rs
+++ b/lib/src/view.rs
@@ -15,6 +15,7 @@
 
 use crate::ids::ModelId;
 use crate::ids::WorkspaceId;
+use crate::ids::ZoneId;
 use crate::rules::Class;
 use crate::rules::Document;
 use crate::rules::Endpoint;
@@ -72,6 +73,7 @@
     models: HashMap<ModelId, Vec<Arc<Route>>>,
     paths: Vec<(String, Arc<Route>)>,
     document: Option<Arc<Document>>,
+    evacuated: Arc<BTreeSet<ZoneId>>,
 }
 
 impl View {
@@ -130,6 +132,11 @@
         self.document.as_ref()
     }
 
+    /// Returns the evacuated zones. Views between which they did not change share the set.
+    pub fn evacuated_zones(&self) -> &Arc<BTreeSet<ZoneId>> {
+        &self.evacuated
+    }
+
     /// Returns the limit of a workspace.
     pub fn limit(&self, workspace: &str) -> Option<&Limit> {
         self.limits.get(workspace)
@@ -145,7 +152,8 @@
         self.endpoints.values()
     }
 
-    /// Returns the endpoints of a route that serve the model, or all of them if `model` is `None`.
+    /// Returns the endpoints of a route outside evacuated zones that serve the model, or all of them if `model` is
+    /// `None`.
     pub fn candidates<'a>(
         &'a self,
         route: &Route,
@@ -308,7 +316,10 @@
 
 /// Returns whether rules of this kind determine which endpoints a request may use.
 fn affects_routing(kind: RuleKind) -> bool {
-    matches!(kind, RuleKind::Route | RuleKind::Endpoint)
+    matches!(
+        kind,
+        RuleKind::Route | RuleKind::Endpoint | RuleKind::Evacuation
+    )
 }
 
 impl View {
@@ -333,6 +344,9 @@
                 self.endpoints.remove(&rule.key.name);
             }
             RuleBody::Document(_) => self.document = None,
+            RuleBody::Evacuation(zone) => {
+                Arc::make_mut(&mut self.evacuated).remove(zone);
+            }
         }
     }
 
@@ -363,6 +377,9 @@
                 self.endpoints.insert(name, Arc::new(e.clone()));
             }
             RuleBody::Document(d) => self.document = Some(Arc::new(d.clone())),
+            RuleBody::Evacuation(zone) => {
+                Arc::make_mut(&mut self.evacuated).insert(zone.clone());
+            }
         }
         Ok(())
     }
@@ -402,6 +419,7 @@
             let candidates = self
                 .endpoints
                 .values()
+                .filter(|e| !self.evacuated.contains(&e.zone))
                 .filter(|e| {
                     let name = e.id.as_str();
                     route.endpoints.iter().any(|p| matches_name(p, name))
@@ -444,7 +462,8 @@
         RuleBody::Workspace(_)
         | RuleBody::Class(_)
         | RuleBody::Endpoint(_)
-        | RuleBody::Document(_) => Vec::new(),
+        | RuleBody::Document(_)
+        | RuleBody::Evacuation(_) => Vec::new(),
     }
 }
 
--- a/lib/tests/test_balancer.rs
+++ b/lib/tests/test_balancer.rs
@@ -9,6 +9,7 @@
 use fulmarford_lib::balancer::Balancer;
 use fulmarford_lib::balancer::Requirements;
 use fulmarford_lib::balancer::SUBSET;
+use fulmarford_lib::evacuation;
 use fulmarford_lib::policy::Ending;
 use fulmarford_testutils::virtual_run;
 use googletest::prelude::*;
@@ -169,3 +170,32 @@
         expect_that!(choice.expect("there is room").0, not(eq(5)));
     }
 }
+
+/// Guards against a request to an evacuated zone, and against its endpoints being lost when it comes back.
+#[gtest]
+fn pool_outside_evacuated_zone() {
+    let view = virtual_run::view(
+        "class c tier=1 idempotent=yes # t\nworkspace w # t\n\
+         route r workspace=w class=c model=m endpoints=e* # t\n\
+         endpoint e0 address=127.0.0.1:9000 zone=y models=m # t\n\
+         endpoint e1 address=127.0.0.1:9001 zone=z models=m # t\n",
+    );
+    let mut balancer = Balancer::new("z".into(), BTreeMap::new(), 1);
+    let mut pool = |evacuated: &[&str]| {
+        let mut transaction = view.transaction();
+        for zone in evacuated {
+            let edit = evacuation::edit(&(*zone).into(), true);
+            transaction.edit(&edit).expect("applies");
+        }
+        let view = transaction.commit().expect("valid");
+        balancer.install(&view);
+        let pool = balancer.pool(&view, &"r".into(), Some(&"m".into()))?;
+        let nodes = balancer.get(pool).nodes.iter();
+        let names = nodes.map(|node| balancer.node(*node).rule.id.to_string());
+        Some(names.collect::<Vec<_>>().join(" "))
+    };
+    expect_that!(pool(&[]).as_deref(), some(eq("e0 e1")));
+    expect_that!(pool(&["y"]).as_deref(), some(eq("e1")));
+    expect_that!(pool(&["y", "z"]), none());
+    expect_that!(pool(&[]).as_deref(), some(eq("e0 e1")));
+}
--- a/lib/tests/test_state.rs
+++ b/lib/tests/test_state.rs
@@ -1,5 +1,7 @@
 //! Tests of the replicated state machine, also against its reference model.
 
+use std::collections::BTreeSet;
+
 use fulmarford_lib::code::ResultCode;
 use fulmarford_lib::command::*;
 use fulmarford_lib::control::Suspicion;
@@ -13,6 +15,7 @@
 use fulmarford_lib::usage::WindowReport;
 use fulmarford_lib::view::Edit;
 use fulmarford_lib::view::Version;
+use fulmarford_lib::view::View;
 use googletest::prelude::*;
 use proptest::collection::vec;
 use proptest::prelude::Just;
@@ -115,6 +118,14 @@
     })
 }
 
+fn evacuation(id: &str, zone: &str, is_active: bool) -> Command {
+    Command::SetEvacuation(EvacuationOrder {
+        id: id.into(),
+        zone: zone.into(),
+        is_active,
+    })
+}
+
 /// A state machine with the index of the last command and the time of the next one.
 struct Fixture {
     state: State,
@@ -176,6 +187,63 @@
     );
 }
 
+/// Guards against an order that is not acknowledged because it changes nothing, and against orders that cross whose
+/// later one in the log does not hold.
+#[gtest]
+fn set_evacuation_log_order() {
+    let mut f = Fixture::new();
+    let orders = [
+        ("a", true, 1),
+        ("b", true, 1),
+        ("c", false, 2),
+        ("d", false, 2),
+        ("e", true, 3),
+    ];
+    for (id, is_active, version) in orders {
+        let reply = f.run(evacuation(id, "y", is_active));
+        let expected = Reply::Applied {
+            version: Version(version),
+        };
+        expect_that!(reply, eq(&expected), "{id}");
+        let is_evacuated = f.state.view().evacuated_zones().contains("y");
+        expect_that!(is_evacuated, eq(is_active), "{id}");
+    }
+    let changes = f.state.changes_since(Version(1));
+    expect_that!(changes.map(|c| c.len()), some(eq(2)));
+}
+
+/// Guards against a duplicate of an order that undoes a newer one when it arrives late.
+#[gtest]
+fn set_evacuation_late_duplicate() {
+    let mut f = Fixture::new();
+    let first = f.run(evacuation("a", "y", true));
+    f.run(evacuation("b", "y", false));
+    f.restart();
+    expect_that!(f.run(evacuation("a", "y", true)), eq(&first));
+    expect_that!(f.state.view().evacuated_zones().as_ref(), is_empty());
+    let reused = f.run(evacuation("a", "z", true));
+    expect_that!(code(&reused), some(eq(ResultCode::ChangeIdReused)));
+}
+
+/// Guards against an evacuation that a new document, a change of the rules or a snapshot ends, and against
+/// instances that do not learn it since the document discarded the changes before it.
+#[gtest]
+fn set_evacuation_survives_other_changes() {
+    let mut f = Fixture::new();
+    f.run(evacuation("a", "y", true));
+    f.run(document(1, 1));
+    f.run(change("b", 2, vec![set("workspace w # t")]));
+    f.run(evacuation("c", "z", true));
+    f.restart();
+    let zones = BTreeSet::from(["y".into(), "z".into()]);
+    expect_that!(f.state.view().evacuated_zones().as_ref(), eq(&zones));
+    expect_that!(f.state.changes_since(Version(1)), none());
+    let last = f.state.changes_since(Version(3)).expect("kept");
+    let earlier = View::default();
+    let view = last[0].apply(&earlier).expect("applies");
+    expect_true!(view.evacuated_zones().contains("z"));
+}
+
 /// Guards against windows that do not have the agreed length, against counts that move from an open
 /// window to another one when the terms change, and against terms that are lost in a snapshot.
 #[gtest]
@@ -617,6 +685,8 @@
             })),
         2 => (0..5_u64, 0..2_u8).prop_map(|(revision, text)| document(revision, text)),
         1 => Just(Command::ReadDocument),
+        2 => (0..6_u64, select(vec!["y", "z"]), any::<bool>())
+            .prop_map(|(id, zone, is_active)| evacuation(&format!("e{id}"), zone, is_active)),
         2 => (1..6_u64, any::<bool>()).prop_map(|(order, accepted)| Command::CloseOrder {
             order,
             state: if accepted { OrderState::Accepted } else { OrderState::Refused },
