Send nothing new to endpoints of evacuated zones

An evacuation in the view changed nothing for requests of entries.

The fleet marks the endpoints of evacuated zones at every choice, from the view that the instance holds, also after its lease has ended. They are not chosen for attempts, retries, resumptions and moves, and no prompt part is copied from them. A run does not return to its engine there, and a move whose target was evacuated meanwhile is not sent. Running work ends where it runs.

--- a/lib/src/discovery.rs
+++ b/lib/src/discovery.rs
@@ -26,6 +26,7 @@
 use crate::control_core::MAX_DIRECT_POLLERS;
 use crate::dialect::Dialect;
 use crate::dialect::ListedEndpoint;
+use crate::evacuation;
 use crate::fleet::Fleet;
 use crate::platform::PlatformClient;
 use crate::platform::PlatformError;
@@ -189,6 +190,11 @@
         }
         let mut fleet = supervision::lock(&config.fleet);
         fleet.confirm_list(read_at);
+        // An instance with few requests would otherwise miss a short evacuation.
+        if let Some(view) = config.control.latest_view() {
+            let changes = fleet.apply_evacuations(now, view.evacuated_zones());
+            evacuation::log_changes(view.version(), &changes);
+        }
         // The reported load decays over time, even without requests.
         config.control.set_work(fleet.report_load(now));
         SHARED_LIST_INTERVAL
--- a/lib/src/evacuation/mod.rs
+++ b/lib/src/evacuation/mod.rs
@@ -6,6 +6,8 @@
 //! selection of endpoints, the planner and the operators' interfaces depend on them
 //! (`docs/design/evacuation.md`).
 
+use crate::view::Version;
+
 mod order;
 mod zone_states;
 
@@ -15,3 +17,15 @@
 pub use order::edit;
 pub use zone_states::ZoneChange;
 pub use zone_states::ZoneStates;
+
+/// Logs the changes that an instance learned with a version of the view.
+pub(crate) fn log_changes(version: Version, changes: &[ZoneChange]) {
+    for change in changes {
+        tracing::info!(
+            zone = %change.zone,
+            view = version.0,
+            is_evacuated = change.is_evacuated,
+            "evacuation of a zone changed"
+        );
+    }
+}
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -22,11 +22,14 @@
 //!   request yields its permit to more urgent ones that were rejected.
 //! * Endpoints that shut down or have no free capacity for a time: what their responses say applies
 //!   immediately, before the endpoint list reflects it, and requests go to the other endpoints.
+//! * A zone that operators evacuate: its endpoints get no new requests from the next choice on, and those of
+//!   the other zones bear its load ([`crate::evacuation`]).
 //! * Endpoints that fail, refuse requests or do not respond: recent failures and unanswered calls
 //!   count as waiting time that decays, so that an endpoint is neither reused immediately nor
 //!   excluded permanently.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -41,6 +44,8 @@
 use crate::dialect::ResponseInfo;
 use crate::endpoint_limit::Admission;
 use crate::endpoint_limit::LimitTable;
+use crate::evacuation::ZoneChange;
+use crate::evacuation::ZoneStates;
 use crate::fleet_endpoint::Endpoint;
 use crate::fleet_endpoint::LocalCall;
 use crate::ids::EndpointId;
@@ -244,6 +249,8 @@
     last_cluster_load: Option<Arc<LoadSummary>>,
     /// Whether any endpoint has a limit.
     has_limits: bool,
+    /// Evacuated zones, and those whose evacuation ended.
+    zones: ZoneStates,
     last_call_id: u64,
 }
 
@@ -280,6 +287,7 @@
             last_report: EngineBacklogs::new(),
             last_cluster_load: None,
             has_limits: false,
+            zones: ZoneStates::default(),
             last_call_id: 0,
         }
     }
@@ -331,6 +339,7 @@
             is_listed
         });
         self.services = services;
+        self.mark_evacuated();
         changes
     }
 
@@ -351,6 +360,30 @@
         }
     }
 
+    /// Applies the evacuated zones of the newest view and returns the changes, for the log.
+    pub fn apply_evacuations(
+        &mut self,
+        now: Instant,
+        evacuated: &Arc<BTreeSet<ZoneId>>,
+    ) -> Vec<ZoneChange> {
+        let changes = self.zones.apply(now, evacuated);
+        if !changes.is_empty() {
+            self.mark_evacuated();
+        }
+        changes
+    }
+
+    fn mark_evacuated(&mut self) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.is_evacuated = self.zones.is_evacuated(&endpoint.listed.zone);
+        }
+    }
+
+    /// Returns what is known of the zones' evacuation.
+    pub fn zones(&self) -> &ZoneStates {
+        &self.zones
+    }
+
     fn service_endpoints(&self, service: &ServiceId) -> impl Iterator<Item = &Endpoint> + Clone {
         let ids = self.services.get(service).into_iter().flatten();
         ids.filter_map(|id| self.endpoints.get(id))
--- a/lib/src/fleet_endpoint.rs
+++ b/lib/src/fleet_endpoint.rs
@@ -150,6 +150,8 @@
     pub is_replaced: bool,
     /// The endpoint announced its shutdown in a response, possibly before the list shows it.
     leaving: bool,
+    /// Operators have evacuated the endpoint's zone ([`crate::evacuation`]).
+    pub is_evacuated: bool,
     /// The endpoint asked for no requests until this time.
     paused_until: Option<Instant>,
     /// Whether the limit that the endpoint states allows a request of this instance.
@@ -170,6 +172,7 @@
             close_times: Vec::new(),
             is_replaced: false,
             leaving: false,
+            is_evacuated: false,
             paused_until: None,
             admission: Admission::Unlimited,
             cache: PromptCache::default(),
@@ -180,6 +183,7 @@
     pub(crate) fn is_usable(&self, now: Instant) -> bool {
         !self.is_leaving()
             && !self.is_replaced
+            && !self.is_evacuated
             && self.paused_until.is_none_or(|until| now >= until)
     }
 
@@ -196,7 +200,7 @@
     /// Returns when the endpoint accepts requests again, if only a pause prevents it.
     pub(crate) fn resume_time(&self) -> Option<Instant> {
         self.paused_until
-            .filter(|_| !self.is_leaving() && !self.is_replaced)
+            .filter(|_| !self.is_leaving() && !self.is_replaced && !self.is_evacuated)
     }
 
     /// Applies the endpoint's entry in a newer list.
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -381,6 +381,10 @@
             self.check_stop()?;
         }
         let (mut guard, copy) = match moved {
+            // The zone was evacuated after the endpoint was chosen; the call was not sent.
+            Some(moved) if self.forwarder.is_evacuated(&moved.guard.choice.listed.zone) => {
+                return Ok(Err(Failure::NoResponse(CallOutcome::Refused)));
+            }
             Some(moved) => (moved.guard, moved.copy),
             None => (self.start_call()?, None),
         };
--- a/lib/src/forward_limit.rs
+++ b/lib/src/forward_limit.rs
@@ -1,4 +1,5 @@
-//! Use of the limits that endpoints state: observations from responses, and permits for requests.
+//! Selection of endpoints within what applies to all instances: the limits that endpoints state, and the
+//! evacuation of zones.
 
 use std::time::Instant;
 
@@ -6,15 +7,18 @@
 use crate::dialect::ResponseInfo;
 use crate::dialect::StatedLimit;
 use crate::endpoint_limit::LimitObservation;
+use crate::evacuation;
 use crate::fleet::Choice;
 use crate::fleet::EndpointQuery;
 use crate::fleet::Fleet;
 use crate::fleet::SelectionError;
 use crate::forward::Forwarder;
 use crate::ids::EndpointId;
+use crate::ids::ZoneId;
 
 impl Forwarder {
-    /// Selects an endpoint whose limit allows the request, and takes a permit if there is a limit.
+    /// Selects an endpoint outside evacuated zones whose limit allows the request, and takes a permit if there
+    /// is a limit.
     ///
     /// If the limit of a better endpoint does not allow the request, this is recorded as demand for permits.
     pub(crate) fn select_endpoint(
@@ -23,6 +27,7 @@
         now: Instant,
         query: &EndpointQuery<'_>,
     ) -> Result<Choice, SelectionError> {
+        self.apply_evacuations(fleet, now);
         let mut limits = self.settings.control.endpoint_limits();
         fleet.apply_limits(now, &limits);
         let choice = fleet.choose(now, query);
@@ -43,6 +48,22 @@
         choice
     }
 
+    /// Applies the evacuations of the newest view to the fleet; without contact to the group, the view that the
+    /// instance holds goes on to apply.
+    fn apply_evacuations(&self, fleet: &mut Fleet, now: Instant) {
+        let Some(view) = self.settings.control.latest_view() else {
+            return;
+        };
+        let changes = fleet.apply_evacuations(now, view.evacuated_zones());
+        evacuation::log_changes(view.version(), &changes);
+    }
+
+    /// Returns whether endpoints of a zone get no new requests, according to the newest view.
+    pub(crate) fn is_evacuated(&self, zone: &ZoneId) -> bool {
+        let view = self.settings.control.latest_view();
+        view.is_some_and(|view| view.evacuated_zones().contains(zone))
+    }
+
     /// Takes a permit for a request that continues at its endpoint whatever the limit is.
     pub(crate) fn charge_permit(&self, now: Instant, endpoint: &EndpointId) {
         let hash = affinity::hash_name(endpoint.as_str());
--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -21,6 +21,7 @@
 use crate::fair_timeout::fair_timeout;
 use crate::fleet;
 use crate::fleet::CallOutcome;
+use crate::fleet::Choice;
 use crate::fleet::EndpointQuery;
 use crate::forward_call::CallGuard;
 use crate::forward_call::Failure;
@@ -413,6 +414,11 @@
             );
             let (guard, origin) = match move_outcome {
                 MoveOutcome::Elsewhere => (guard, Some(source)),
+                // Nothing new is sent to the engine that stopped the run; the stream goes on as one that
+                // broke off.
+                MoveOutcome::Resumed if forwarder.is_evacuated(&source.listed.zone) => {
+                    return MoveEnd::Unknown;
+                }
                 MoveOutcome::Resumed => (CallGuard::start(&forwarder, &prints, source), None),
                 MoveOutcome::Unknown => return MoveEnd::Unknown,
                 MoveOutcome::InPlace => return MoveEnd::InPlace,
@@ -461,10 +467,12 @@
             };
             // The endpoint that was to continue the run has not done so. The one that stopped it still holds
             // it, and one that was silent may have been busy.
-            let may_return = |copy: &Option<RunCopy>| {
-                moved.is_none() && (has_not_run(outcome) || copy.is_none())
+            let may_return = |origin: &Choice, copy: &Option<RunCopy>| {
+                moved.is_none()
+                    && (has_not_run(outcome) || copy.is_none())
+                    && !self.forwarder.is_evacuated(&origin.listed.zone)
             };
-            if let Some((origin, copy)) = origin.take_if(|(_, copy)| may_return(copy))
+            if let Some((origin, copy)) = origin.take_if(|(origin, copy)| may_return(origin, copy))
                 && (copy.is_some() || self.forwarder.spend_retry(&self.service, RetryChance::High))
             {
                 tracing::info!(
--- a/lib/src/prompt_source.rs
+++ b/lib/src/prompt_source.rs
@@ -72,7 +72,7 @@
         holders.copy_rate = rate;
         // A leaving endpoint can still be copied from.
         let known_sources = endpoints
-            .filter(|e| !e.is_replaced)
+            .filter(|e| !e.is_replaced && !e.is_evacuated)
             .map(|endpoint| Source::new(endpoint, endpoint.cache.cached(shared_parts)))
             .filter(|source| source.tokens > 0);
         let guessed_sources = homes
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -1,6 +1,7 @@
 //! Tests of endpoint selection. Most reproduce the load pattern that a rule of the selection
 //! handles.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,6 +23,7 @@
 use fulmarford_lib::fleet::is_large_cluster;
 use fulmarford_lib::ids::EndpointId;
 use fulmarford_lib::ids::ServiceId;
+use fulmarford_lib::ids::ZoneId;
 use fulmarford_lib::refused_callers::Need;
 use fulmarford_lib::route_table::EngineSpec;
 use fulmarford_lib::service_load::EngineBacklog;
@@ -1102,3 +1104,59 @@
         );
     }
 }
+
+fn in_zone(name: &str, zone: &str) -> ListedEndpoint {
+    ListedEndpoint {
+        zone: zone.into(),
+        ..listed(name)
+    }
+}
+
+fn evacuated(names: &[&str]) -> Arc<BTreeSet<ZoneId>> {
+    Arc::new(names.iter().map(|name| ZoneId::from(*name)).collect())
+}
+
+/// Guards against a request to an evacuated zone, also when another one has failed, after a new list and for the
+/// engine that holds the prompt.
+#[gtest]
+fn choose_not_evacuated() {
+    let mut f = Fixture::new(&[]);
+    f.fleet.set_engine_spec(&f.service, engine(Some(1_000.0)));
+    let list = [in_zone("a", "y"), in_zone("b", "z")];
+    f.fleet.update_list(f.now, list.to_vec());
+    let parts = [1, 2].map(|id| PromptPart { id, tokens: 8_000 });
+    let cached = f.try_choose(16_000, &parts, &["b".into()]).expect("a");
+    let call = f.fleet.start(f.now, &cached, &parts);
+    f.fleet.end(f.now, call, CallOutcome::Served);
+    f.fleet.apply_evacuations(f.now, &evacuated(&["y"]));
+    let choice = f.try_choose(16_000, &parts, &[]).expect("the other zone");
+    expect_that!(choice.listed.id, eq(&EndpointId::from("b")));
+    expect_that!(choice.source, none());
+    let nowhere = Err(SelectionError::Nowhere);
+    expect_that!(f.try_choose(100, &[], &["b".into()]), eq(&nowhere));
+    f.fleet
+        .update_list(f.now, vec![in_zone("c", "y"), list[1].clone()]);
+    expect_that!(f.try_choose(100, &[], &["b".into()]), eq(&nowhere));
+    f.fleet.apply_evacuations(f.now, &evacuated(&[]));
+    let back = f.try_choose(100, &[], &["b".into()]).expect("back");
+    expect_that!(back.listed.id, eq(&EndpointId::from("c")));
+}
+
+/// Guards against a caller that is told to wait for the end of a pause when all zones are evacuated.
+#[gtest]
+fn choose_all_zones_evacuated() {
+    let mut f = Fixture::new(&["a"]);
+    let choice = f.try_choose(100, &[], &[]).expect("an endpoint");
+    let call = f.fleet.start(f.now, &choice, &[]);
+    let pause = ResponseInfo {
+        refused: true,
+        pause: Some(Duration::from_secs(60)),
+        ..ResponseInfo::default()
+    };
+    f.fleet.record_response(f.now, call, &pause, false);
+    f.fleet.apply_evacuations(f.now, &evacuated(&["z"]));
+    expect_that!(
+        f.try_choose(100, &[], &[]),
+        eq(&Err(SelectionError::Nowhere))
+    );
+}
