Plan endpoints without those of evacuated zones

The planner counted endpoints that get no requests as capacity and ordered in zones that operators empty.

It counts and orders outside evacuated zones only; the rest bears the need, and the first number of endpoints, kept until the need is known, includes those of evacuated zones, as their load goes to the others.

--- a/lib/src/endpoint_planner.rs
+++ b/lib/src/endpoint_planner.rs
@@ -8,10 +8,14 @@
 //! * Loss of all reclaimable endpoints of a zone at once: they are spread over all zones, the
 //!   reserve covers the loss of one zone, and on-demand endpoints replace those that the platform
 //!   cannot provide.
+//! * A zone that operators evacuate: its endpoints take no requests, so they are no capacity, and the other zones
+//!   are ordered for. It gets no orders at all, since operators decide what becomes of it.
 //! * Idle hours: surplus endpoints are released, but only after the peak has left the window.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -91,6 +95,7 @@
     needs: BTreeMap<ServiceId, VecDeque<(Instant, f64)>>,
     sent_orders: BTreeMap<OrderKey, SentOrder>,
     unavailable_until: BTreeMap<(ServiceId, ZoneId), Instant>,
+    evacuated: Arc<BTreeSet<ZoneId>>,
 }
 
 impl EndpointPlanner {
@@ -103,6 +108,7 @@
             needs: BTreeMap::new(),
             sent_orders: BTreeMap::new(),
             unavailable_until: BTreeMap::new(),
+            evacuated: Arc::default(),
         }
     }
 
@@ -113,6 +119,11 @@
         self.unavailable_until.clear();
     }
 
+    /// Sets the evacuated zones, which get no orders and whose endpoints are no capacity.
+    pub fn set_evacuated(&mut self, zones: Arc<BTreeSet<ZoneId>>) {
+        self.evacuated = zones;
+    }
+
     /// Records the need of a service; also called while another process holds the right to order.
     pub fn observe(&mut self, now: Instant, service: &Service, load: &ServiceLoad) {
         if service.scaling.is_none() {
@@ -140,7 +151,7 @@
         }
     }
 
-    /// Returns the orders to send now for one service.
+    /// Returns the orders to send now for one service, none of them for an evacuated zone.
     pub fn plan(
         &mut self,
         now: Instant,
@@ -152,20 +163,23 @@
             return Vec::new();
         };
         self.observe(now, service, load);
-        let counts = Counts::of(service, list);
+        let all = Counts::of(service, list);
         let is_filling = now.saturating_duration_since(self.created_at) < LIST_FILL_TIME;
         let initial_count = self.initial_counts.entry(service.id.clone()).or_insert(0);
         // Endpoints that this process ordered are not part of the initial count.
         if is_filling || *initial_count == 0 {
             let ordered = match self.sent_orders.is_empty() {
                 true => 0,
-                false => counts.reclaimable(),
+                false => all.reclaimable(),
             };
-            *initial_count = (counts.total() - ordered).max(*initial_count);
+            *initial_count = (all.total() - ordered).max(*initial_count);
         }
+        let counts = all.outside(&self.evacuated);
         self.record_reclaimed_zones(now, service, list);
         let need = self.need(now, service);
-        let targets = self.targets(now, service, scaling, need, &counts);
+        let mut zones = scaling.prices.clone();
+        zones.retain(|(zone, _)| !self.evacuated.contains(zone));
+        let targets = self.targets(now, service, scaling, zones, need, &counts);
         let mut orders = Vec::new();
         for ((zone, reclaimable), count) in targets {
             let key = (service.id.clone(), zone.clone(), reclaimable);
@@ -240,7 +254,7 @@
         let needs = self.needs.get(&service.id).into_iter().flatten();
         let peak = needs.map(|(_, need)| *need).fold(0.0, f64::max);
         let initial_count = self.initial_counts.get(&service.id).copied().unwrap_or(0);
-        // The endpoints left after the loss of one zone cover the need.
+        // The endpoints left after the loss of one zone cover the need. An evacuated zone is such a loss.
         let zones = service.scaling.as_ref().map_or(1, |s| s.prices.len());
         let zones = zones.max(2) as f64;
         let zone_loss_factor = zones / (zones - 1.0);
@@ -261,18 +275,18 @@
         }
     }
 
-    /// Returns the wanted number of endpoints for each zone and kind.
+    /// Returns the wanted number of endpoints for each of the zones, which are given with their prices, and kind.
     fn targets(
         &self,
         now: Instant,
         service: &Service,
         scaling: &Scaling,
+        mut zones: Vec<(ZoneId, f64)>,
         need: Need,
         counts: &Counts,
     ) -> BTreeMap<(ZoneId, bool), u32> {
         // The maximum takes precedence over the minimum if they contradict each other.
         let (min, max) = (scaling.min.min(scaling.max), scaling.max);
-        let mut zones: Vec<_> = scaling.prices.clone();
         zones.sort_by(|a, b| a.1.total_cmp(&b.1));
         let mut targets = BTreeMap::new();
         if zones.is_empty() {
@@ -363,6 +377,12 @@
         counts
     }
 
+    /// Returns the counts without those of these zones.
+    fn outside(mut self, zones: &BTreeSet<ZoneId>) -> Self {
+        self.0.retain(|(zone, _), _| !zones.contains(zone));
+        self
+    }
+
     fn get(&self, zone: &ZoneId, reclaimable: bool) -> u32 {
         let key = (zone.clone(), reclaimable);
         self.0.get(&key).copied().unwrap_or(0)
--- a/lib/src/site_duties.rs
+++ b/lib/src/site_duties.rs
@@ -288,6 +288,10 @@
         let Some((_, table)) = &self.orderer.table else {
             return;
         };
+        if let Some(view) = self.config.control.latest_view() {
+            let evacuated = view.evacuated_zones().clone();
+            self.orderer.planner.set_evacuated(evacuated);
+        }
         for service in table.services() {
             let load = load(service);
             for order in self.orderer.planner.plan(now, service, &load, list) {
--- a/lib/tests/test_endpoint_planner.rs
+++ b/lib/tests/test_endpoint_planner.rs
@@ -1,12 +1,15 @@
 //! Tests of the endpoint planner; each replays a load pattern that the planner must handle.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use fulmarford_lib::dialect::EndpointOrder;
 use fulmarford_lib::dialect::ListedEndpoint;
 use fulmarford_lib::endpoint_planner::EndpointPlanner;
+use fulmarford_lib::ids::ZoneId;
 use fulmarford_lib::route_table::EngineSpec;
 use fulmarford_lib::route_table::Scaling;
 use fulmarford_lib::route_table::Service;
@@ -224,6 +227,71 @@
     expect_that!(f.held[&key("z")], gt(before));
 }
 
+fn evacuated(names: &[&str]) -> Arc<BTreeSet<ZoneId>> {
+    Arc::new(names.iter().map(|name| ZoneId::from(*name)).collect())
+}
+
+/// Guards against a lack of capacity while operators evacuate a zone: its endpoints are on the list, but the others
+/// must cover the need, and nothing is ordered or released there.
+#[gtest]
+fn plan_evacuated_zone() {
+    for reclaimable in [None, Some(0.2)] {
+        let mut f = Fixture::new(reclaimable);
+        // Surplus endpoints of the start have been released then.
+        f.run(40, 60_000.0, 10_000.0);
+        let before = f.held.clone();
+        let in_zone = |held: &BTreeMap<(String, bool), u32>, zone: &str| {
+            let kinds = [true, false].map(|kind| held.get(&(zone.to_owned(), kind)).copied());
+            kinds.iter().flatten().sum::<u32>()
+        };
+        f.planner.set_evacuated(evacuated(&["x"]));
+        f.orders.clear();
+        f.run(5, 60_000.0, 10_000.0);
+        expect_that!(
+            f.orders.iter().filter(|o| o.zone == "x".into()).count(),
+            eq(0)
+        );
+        expect_that!(in_zone(&f.held, "x"), eq(in_zone(&before, "x")));
+        let others = in_zone(&f.held, "y") + in_zone(&f.held, "z");
+        // Each kind is divided equally among zones and rounded.
+        expect_that!(
+            others + 1,
+            ge(before.values().sum::<u32>()),
+            "{reclaimable:?}"
+        );
+    }
+}
+
+/// Guards against an initial number of endpoints, kept until the need is known, that leaves out those of an evacuated
+/// zone although their load goes to the others.
+#[gtest]
+fn plan_zone_evacuated_before_load() {
+    let mut f = Fixture::new(None);
+    f.planner.set_evacuated(evacuated(&["x"]));
+    f.run(30, 0.0, 0.0);
+    expect_that!(
+        f.held[&("y".to_owned(), false)] + f.held[&("z".to_owned(), false)],
+        eq(9)
+    );
+}
+
+/// Guards against orders when no zone is left, and against a zone that gets none after its evacuation.
+#[gtest]
+fn plan_all_zones_evacuated() {
+    let mut f = Fixture::new(None);
+    f.run(20, 120_000.0, 30_000.0);
+    f.planner.set_evacuated(evacuated(&ZONES));
+    f.orders.clear();
+    f.run(5, 400_000.0, 100_000.0);
+    expect_that!(f.orders, is_empty());
+    f.planner.set_evacuated(evacuated(&[]));
+    f.run(1, 400_000.0, 100_000.0);
+    expect_that!(
+        f.orders.iter().filter(|o| o.zone == "x".into()).count(),
+        eq(1)
+    );
+}
+
 /// Guards against a late replacement when the platform reclaims a zone with some seconds of notice:
 /// on-demand endpoints must be ordered at the notice, not after a refused order for reclaimable ones.
 #[gtest]
