--- a/cli/src/bin/fulmarctl/change.rs
+++ b/cli/src/bin/fulmarctl/change.rs
@@ -180,6 +180,9 @@
         return Ok(ExitCode::SUCCESS);
     }
     println!("# version {}", list.version);
+    for zone in &list.evacuated {
+        println!("# zone {zone} is evacuated");
+    }
     for line in &list.rules {
         println!("{line}");
     }
--- a/cli/src/bin/fulmarctl/main.rs
+++ b/cli/src/bin/fulmarctl/main.rs
@@ -5,6 +5,7 @@
 mod check;
 mod demo;
 mod embedded;
+mod evacuate;
 mod explain;
 mod fake;
 mod instance;
@@ -38,6 +39,8 @@
     History(change::HistoryArguments),
     /// Print the rules held by an instance.
     Show(change::ShowArguments),
+    /// Evacuate a zone, or end that.
+    Evacuate(evacuate::Arguments),
     /// Print the status of an instance and of its group.
     Status(status::Arguments),
     /// Print the routing decisions about a request from decision logs.
@@ -62,6 +65,7 @@
         Command::Apply(arguments) => change::apply(&arguments),
         Command::History(arguments) => change::history(&arguments),
         Command::Show(arguments) => change::show(&arguments),
+        Command::Evacuate(arguments) => evacuate::run(&arguments),
         Command::Status(arguments) => status::run(&arguments),
         Command::Explain(arguments) => explain::run(&arguments),
         Command::Demo(arguments) => demo::run(&arguments),
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -350,6 +350,9 @@
     async fn call(&self, request: Request) -> std::io::Result<Response> {
         let age = self.control.view_age(self.clock.now());
         self.metrics.view(age, self.control.lease_ends());
+        let view = self.control.latest_view();
+        let zones = view.map_or(0, |view| view.evacuated_zones().len());
+        self.metrics.evacuated(zones);
         Ok(match request.uri().path() == METRICS_PATH {
             true => answer::plain(200, "text/plain; version=0.0.4", self.metrics.text()),
             false => answer::plain(404, answer::JSON, "{}"),
--- a/lib/src/operator.rs
+++ b/lib/src/operator.rs
@@ -14,6 +14,7 @@
 use http::Method;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
+use percent_encoding::percent_decode_str;
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
@@ -26,9 +27,11 @@
 use crate::code::ResultCode;
 use crate::command::Change;
 use crate::command::Command;
+use crate::command::EvacuationOrder;
 use crate::command::Reply;
 use crate::control::Control;
 use crate::control::SubmitError;
+use crate::evacuation;
 use crate::gateway::GatewayService;
 use crate::rule_state::CommittedChange;
 use crate::rules;
@@ -41,6 +44,9 @@
 use crate::view::Edit;
 use crate::view::Version;
 
+/// Path of the evacuation of a zone, whose name follows.
+pub(crate) const EVACUATION_PATH: &str = "/control/evacuations/";
+
 /// Maximum size of the body of a change.
 pub const MAX_CHANGE_BYTES: usize = 1 << 20;
 
@@ -163,6 +169,7 @@
     History(Option<String>),
     Rules,
     Status,
+    SetEvacuation { zone: String, is_active: bool },
 }
 
 /// Permit for a concurrent request, which is released on drop.
@@ -235,9 +242,18 @@
             Operation::History(query) => self.history(query.as_deref()),
             Operation::Rules => self.rules(),
             Operation::Status => self.status(),
+            Operation::SetEvacuation { zone, is_active } => self.set_evacuation(&zone, is_active),
         }
     }
 
+    fn set_evacuation(&self, zone: &str, is_active: bool) -> Result<(u16, Value), Failure> {
+        let zone = evacuation::check_zone(zone)
+            .map_err(|error| Failure::new(ResultCode::BadRequest, error.to_string()))?;
+        tracing::info!(%zone, is_active, "operator sets the evacuation of a zone");
+        let order = EvacuationOrder::new(zone, is_active);
+        self.submit(Command::SetEvacuation(order), "send the order again")
+    }
+
     fn change(&self, body: &[u8]) -> Result<(u16, Value), Failure> {
         let submission: Submission = serde_json::from_slice(body)
             .map_err(|error| Failure::new(ResultCode::BadRequest, error.to_string()))?;
@@ -248,7 +264,16 @@
             author: submission.author,
         };
         tracing::info!(id = %change.id, author = %change.author, "operator submits a change");
-        match self.control.submit(Command::Apply(change), ACCEPT_TIMEOUT) {
+        self.submit(
+            Command::Apply(change),
+            "submit the change again under the same id",
+        )
+    }
+
+    /// Submits a command that changes the view and waits until the change is in force; `advice` tells what to do
+    /// if the outcome is unknown.
+    fn submit(&self, command: Command, advice: &str) -> Result<(u16, Value), Failure> {
+        match self.control.submit(command, ACCEPT_TIMEOUT) {
             Ok(Reply::Applied { version }) => Ok(self.await_in_force(version)),
             Ok(Reply::Refused { code, message }) => Err(Failure::new(code, message)),
             Ok(_) => Err(ResultCode::Internal.into()),
@@ -256,7 +281,7 @@
             Err(SubmitError::Unknown) => Err(Failure {
                 code: ResultCode::ControlUnavailable,
                 execution: Execution::Unknown,
-                message: "the change may be accepted; submit it again under the same id".to_owned(),
+                message: format!("the change may be accepted; {advice}"),
             }),
         }
     }
@@ -285,13 +310,26 @@
 
     fn rules(&self) -> Result<(u16, Value), Failure> {
         let view = self.control.latest_view().ok_or(ResultCode::ViewExpired)?;
-        let lines: Vec<_> = view.rules().map(|rule| rule.line.as_str()).collect();
-        Ok((200, json!({"version": view.version(), "rules": lines})))
+        let lines: Vec<_> = view
+            .rules()
+            .filter(|rule| rule.key.kind.has_lines())
+            .map(|rule| rule.line.as_str())
+            .collect();
+        Ok((
+            200,
+            json!({
+                "version": view.version(),
+                "rules": lines,
+                "evacuated": view.evacuated_zones().as_ref(),
+            }),
+        ))
     }
 
     fn status(&self) -> Result<(u16, Value), Failure> {
         let status = self.control.status(READ_TIMEOUT);
-        let status = serde_json::to_value(status).map_err(|_| ResultCode::Internal)?;
+        let mut status = serde_json::to_value(status).map_err(|_| ResultCode::Internal)?;
+        let view = self.control.latest_view();
+        status["evacuated"] = json!(view.as_ref().map(|view| view.evacuated_zones().as_ref()));
         Ok((200, status))
     }
 }
@@ -301,7 +339,8 @@
         .edits
         .iter()
         .map(|edit| match edit {
-            Edit::Set(rule) => json!({"set": rule.line}),
+            Edit::Set(rule) if rule.key.kind.has_lines() => json!({"set": rule.line}),
+            Edit::Set(rule) => json!({"set": rule.key.to_string()}),
             Edit::Remove(key) => json!({"remove": key.to_string()}),
         })
         .collect();
@@ -362,6 +401,7 @@
         }
         (&Method::GET, "/control/rules") => Ok(Operation::Rules),
         (&Method::GET, "/control/status") => Ok(Operation::Status),
+        (method, path) if path.starts_with(EVACUATION_PATH) => parse_evacuation(method, path),
         (_, "/control/changes" | "/control/history" | "/control/rules" | "/control/status") => {
             Err(ResultCode::MethodNotAllowed.into())
         }
@@ -369,6 +409,22 @@
     }
 }
 
+fn parse_evacuation(method: &Method, path: &str) -> Result<Operation, Failure> {
+    let is_active = match *method {
+        Method::POST => true,
+        Method::DELETE => false,
+        _ => return Err(ResultCode::MethodNotAllowed.into()),
+    };
+    let zone = percent_decode_str(&path[EVACUATION_PATH.len()..]);
+    let zone = zone
+        .decode_utf8()
+        .map_err(|error| Failure::new(ResultCode::BadRequest, error.to_string()))?;
+    Ok(Operation::SetEvacuation {
+        zone: zone.into_owned(),
+        is_active,
+    })
+}
+
 async fn read_body(request: &mut Request) -> Result<Vec<u8>, Failure> {
     let body = Limited::new(request.body_mut(), MAX_CHANGE_BYTES);
     let collected = tokio::time::timeout(BODY_TIMEOUT, body.collect())
--- a/lib/src/operator_client.rs
+++ b/lib/src/operator_client.rs
@@ -4,12 +4,16 @@
 
 use derive_more::Display;
 use derive_more::Error;
+use percent_encoding::NON_ALPHANUMERIC;
+use percent_encoding::utf8_percent_encode;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
 use serde_json::json;
 
 use crate::ids::ChangeId;
+use crate::ids::ZoneId;
+use crate::operator::EVACUATION_PATH;
 use crate::view::Edit;
 use crate::view::Version;
 
@@ -49,6 +53,9 @@
     pub version: Version,
     /// Rules, one line each.
     pub rules: Vec<String>,
+    /// Evacuated zones, which are not part of the rules.
+    #[serde(default)]
+    pub evacuated: Vec<ZoneId>,
 }
 
 /// Response to an accepted change.
@@ -145,6 +152,25 @@
         self.read(response).and_then(decode)
     }
 
+    /// Starts or ends the evacuation of a zone. An order may be sent again at any time.
+    pub fn set_evacuation(
+        &self,
+        zone: &str,
+        is_active: bool,
+    ) -> Result<AcceptedChange, ClientError> {
+        let zone = utf8_percent_encode(zone, NON_ALPHANUMERIC);
+        let url = self.url(&format!("{EVACUATION_PATH}{zone}"));
+        let token = format!("Bearer {}", self.token);
+        let response = match is_active {
+            true => {
+                let request = self.agent.post(url).header("authorization", token);
+                request.send_empty()
+            }
+            false => self.agent.delete(url).header("authorization", token).call(),
+        };
+        self.read(response).and_then(decode)
+    }
+
     fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.address)
     }
--- a/lib/src/traffic_metrics.rs
+++ b/lib/src/traffic_metrics.rs
@@ -31,6 +31,7 @@
     limited: IntCounterVec,
     view_age: Gauge,
     lease_ends: IntGauge,
+    evacuated: IntGauge,
     total: HistogramVec,
     first: HistogramVec,
 }
@@ -82,6 +83,10 @@
                 "fulmarford_view_lease_ends",
                 "Times that the configuration was not known to be up to date for two seconds",
             )?,
+            evacuated: IntGauge::new(
+                "fulmarford_evacuated_zones",
+                "Zones whose endpoints get no new requests by order of the operators",
+            )?,
             total: latency(
                 "fulmarford_answer_seconds",
                 "Arrival to the end of an answer",
@@ -108,6 +113,9 @@
         metrics
             .registry
             .register(Box::new(metrics.lease_ends.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.evacuated.clone()))?;
         metrics.registry.register(Box::new(metrics.total.clone()))?;
         metrics.registry.register(Box::new(metrics.first.clone()))?;
         Ok(metrics)
@@ -164,6 +172,11 @@
             .set(i64::try_from(lease_ends).unwrap_or(i64::MAX));
     }
 
+    /// Records the number of evacuated zones.
+    pub fn evacuated(&self, zones: usize) {
+        self.evacuated.set(i64::try_from(zones).unwrap_or(i64::MAX));
+    }
+
     /// Returns all metrics in the text format.
     pub fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
