Take a statement that a request was not executed from its head

The statement of an engine that it did not execute a request, or is another engine than the one that was meant, stands in the head of its answer. If the body of that answer broke off before its first byte, the call counted as interrupted: a request that may run only once ended with 502 instead of going to another engine, and the interruption counted as a sign of a crash. Nothing of that body is ever passed on, so its end does not matter.

Before: 502 after one arrival, expected 200 after two. After: passes.

--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -551,6 +551,8 @@
         }
         let first = match answer.next().await {
             Ok(first) => first,
+            // The head states that the request was not executed, whatever becomes of the body.
+            Err(_) if response_info.refused || response_info.misdirected => None,
             Err(error) => {
                 tracing::info!(request = self.info.id, %error, "answer broke off");
                 return Err(Failure::NoResponse(CallOutcome::Broken));
