Count the end of a connection only after its call was sent

An engine in trouble may answer a long request at once, without length or chunks, and end the connection: in order first, with a reset later. The part that it sent then looked like a whole answer, since only a reset that came in time, or an engine that refuses connections, told otherwise.

The client's stream now records whether the call was sent whole when the endpoint ended its side: hyper flushes its transport only after the last byte, and the socket tells whether bytes wait to be sent (TCP_NOTSENT_LOWAT and poll, asked once at the end of a connection). If not, the end of a body that has no other mark is an error, on both request paths. The existing rules follow: the request is repeated, resumed, or ends with 502.

upstream.rs becomes the folder upstream/; rustix, which tempfile uses already, is a direct dependency for its safe poll.

--- a/lib/src/shared_stream.rs
+++ b/lib/src/shared_stream.rs
@@ -11,6 +11,10 @@
 use std::task::ready;
 use std::time::Duration;
 
+use rustix::event::PollFd;
+use rustix::event::PollFlags;
+use rustix::event::Timespec;
+use rustix::event::poll;
 use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -33,6 +37,21 @@
         }
     }
 
+    /// Returns whether the connection is open and all bytes that were written were sent to the peer.
+    ///
+    /// Sent bytes may still wait to be read there. This asks the operating system, for which a stream counts as
+    /// writable meanwhile only if nothing waits to be sent.
+    pub(crate) fn is_all_sent(&self) -> bool {
+        let socket = SockRef::from(&*self.0);
+        let is_set = socket.set_tcp_notsent_lowat(1).is_ok();
+        let mut states = [PollFd::new(&*self.0, PollFlags::OUT)];
+        let is_polled = poll(&mut states, Some(&Timespec::default())).is_ok();
+        let is_sent = is_set && is_polled && states[0].revents() == PollFlags::OUT;
+        // Zero stands for the default of the system.
+        let is_reset = socket.set_tcp_notsent_lowat(0).is_ok();
+        is_sent && is_reset
+    }
+
     /// Returns a handle that does not keep the stream open.
     pub(crate) fn downgrade(&self) -> WeakStream {
         WeakStream(Arc::downgrade(&self.0))
--- a/lib/src/upstream.rs
+++ b/lib/src/upstream/mod.rs
@@ -1,5 +1,9 @@
 //! HTTP client for calls to endpoints.
 //!
+//! It takes calls with the addresses of their endpoints, and returns answers whose end counts only if it shows that
+//! they are complete. Both the product's own interface and the platform's use it; it depends on
+//! [`crate::shared_stream`] and [`crate::supervision`] only, and makes no decision on repeating a call.
+//!
 //! A [`Client`] belongs to one event loop. A call uses a pooled connection if its sender allows it
 //! ([`Call::pooled`]). On a pooled connection that the endpoint is closing it can remain unknown whether
 //! the call ran. Dropping an [`Answer`] closes its connection immediately, which cancels the call at the
@@ -40,6 +44,10 @@
 use crate::shared_stream::SharedStream;
 use crate::shared_stream::WeakStream;
 use crate::supervision;
+use crate::upstream::upload::UploadState;
+use crate::upstream::upload::UploadStream;
+
+mod upload;
 
 /// Maximum time for opening a connection to an endpoint.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -186,6 +194,7 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     stream: WeakStream,
+    upload: UploadState,
     /// Whether earlier calls used the connection.
     reused: bool,
     /// The identified calls that the connection has carried.
@@ -246,6 +255,7 @@
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortOnDrop,
     stream: WeakStream,
+    upload: UploadState,
     client: Option<Client>,
 }
 
@@ -312,6 +322,7 @@
             sender: Some(sender),
             task,
             stream: connection.stream,
+            upload: connection.upload,
             client: call.pooled.then(|| self.clone()),
         })
     }
@@ -388,6 +399,8 @@
     set_silence_timeouts(&stream);
     let stream = SharedStream::new(stream);
     let handle = stream.downgrade();
+    let stream = UploadStream::new(stream);
+    let upload = stream.state();
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_READ_BYTES)
         .handshake(TokioIo::new(stream))
@@ -400,6 +413,7 @@
         sender,
         task: task.abort_handle(),
         stream: handle,
+        upload,
         reused: false,
         carried: Vec::new(),
         until: Instant::now() + IDLE_TIMEOUT,
@@ -497,9 +511,17 @@
     }
 
     /// Returns the next bytes of the body, or `None` at its end.
+    ///
+    /// The end of the connection is an error if it came before the call was sent whole, and else the end of a body
+    /// that has no other mark.
     pub async fn next(&mut self) -> io::Result<Option<Bytes>> {
         loop {
             let Some(frame) = self.body.frame().await else {
+                if self.delimiter == Delimiter::Close && !self.upload.ended_whole() {
+                    return Err(io::Error::other(
+                        "the connection failed, or ended before its call was sent",
+                    ));
+                }
                 self.return_to_pool();
                 return Ok(None);
             };
@@ -537,6 +559,7 @@
                 sender,
                 task,
                 stream: self.stream.clone(),
+                upload: self.upload.clone(),
                 reused: true,
                 carried: std::mem::take(&mut self.carried),
                 until: Instant::now() + self.idle,
