Take only 200 to 599 for the status of an answer

The parser of responses accepts any three digits from 100, so 600 and 999 of an engine in trouble reached the caller. In the product's own interface 101 did too. The client refuses other statuses now, on both request paths, as a call that failed after it was sent: it is repeated where the route allows it, and else ends with 502. It replaces the check for 101 in forward_job.

--- a/lib/src/attempt.rs
+++ b/lib/src/attempt.rs
@@ -168,7 +168,9 @@
                 Ok(answer)
             }
             Ok(Err(CallError::Unreachable(_))) => Err(Failure::unreachable()),
-            Ok(Err(CallError::Failed(_) | CallError::Mismatched)) => Err(Failure::broken()),
+            Ok(Err(CallError::Failed(_) | CallError::Mismatched | CallError::InvalidStatus(_))) => {
+                Err(Failure::broken())
+            }
             Err(interrupt) => Err(Failure::interrupted(&interrupt)),
         }
     }
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -538,11 +538,6 @@
                 return Err(Failure::NoResponse(CallOutcome::Broken));
             }
         };
-        // The connection speaks another protocol now, which no call asked for.
-        if answer.status == 101 {
-            tracing::info!(request = self.info.id, "endpoint switched protocols");
-            return Err(Failure::NoResponse(CallOutcome::Broken));
-        }
         let response_info = dialect.response_info(answer.status, &answer.headers);
         let is_success = (200..300).contains(&answer.status);
         guard.stated_limit = response_info.limit.rate();
--- a/lib/src/upstream/mod.rs
+++ b/lib/src/upstream/mod.rs
@@ -19,6 +19,7 @@
 use std::hash::Hasher as _;
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -92,6 +93,9 @@
 /// their IDs.
 const MAX_CALLS_PER_CONNECTION: usize = 1_024;
 
+/// Statuses of final responses (RFC 9110, section 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// The error for a call to an endpoint that failed.
 #[derive(Debug, Display, Error)]
 pub enum CallError {
@@ -104,6 +108,9 @@
     /// The response on the connection belongs to another call.
     #[display("the answer belongs to another call")]
     Mismatched,
+    /// The response has a status that ends no call, such as one of another protocol's.
+    #[display("{_0} is not the status of an answer")]
+    InvalidStatus(#[error(not(source))] u16),
 }
 
 /// A call to an endpoint.
@@ -263,6 +270,10 @@
     /// Sends a call and returns when the head of the response has arrived.
     pub async fn send(&self, call: Call<'_>) -> Result<Answer, CallError> {
         let answer = self.send_unchecked(&call).await?;
+        // The parser accepts any three digits, and 101 for a connection that speaks another protocol from now on.
+        if !FINAL_STATUSES.contains(&answer.status) {
+            return Err(CallError::InvalidStatus(answer.status));
+        }
         match call.echo {
             Some(echo) if !matches_echo(&answer, echo) => Err(CallError::Mismatched),
             _ => Ok(answer),
--- a/lib/tests/test_upstream.rs
+++ b/lib/tests/test_upstream.rs
@@ -627,3 +627,130 @@
     });
     expect_that!(wrong, is_empty());
 }
+
+/// Status lines of one endpoint that are no final status.
+const INVALID_STATUSES: [&str; 15] = [
+    "HTTP/1.1 000 None",
+    "HTTP/1.1 001 None",
+    "HTTP/1.1 099 None",
+    "HTTP/1.1 101 Switch",
+    "HTTP/1.1 199 Hint",
+    "HTTP/1.1 600 Other",
+    "HTTP/1.1 999 Other",
+    "HTTP/1.1 2000 OK",
+    "HTTP/1.1 20 OK",
+    "HTTP/1.1 -20 OK",
+    "HTTP/1.1 abc OK",
+    "HTTP/1.1 2xx OK",
+    "HTTP/1.1  OK",
+    "HTTP/1.1",
+    "HTTP/1.1 200OK",
+];
+
+/// Guards against a status that is none and that reaches the caller, on a new and on a kept connection, and against a
+/// later call that gets the rest of such an answer.
+#[gtest]
+fn send_invalid_status() {
+    for status in INVALID_STATUSES {
+        let response = format!("{status}\r\ncontent-length: 3\r\n\r\nbad");
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let address = listener.local_addr().expect("bound");
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let mut stream = stream;
+                let response = response.clone();
+                thread::spawn(move || {
+                    let mut buffer = [0; 4096];
+                    while let Ok(length) = stream.read(&mut buffer)
+                        && length > 0
+                    {
+                        let is_bad = buffer[..length].starts_with(b"POST /bad");
+                        let response = if is_bad { response.as_bytes() } else { OK };
+                        let _ = stream.write_all(response);
+                        // What follows an interim response does not come.
+                        if response.starts_with(b"HTTP/1.1 199") {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        for kept in [false, true] {
+            run(async {
+                let client = Client::default();
+                let ok = async || {
+                    let mut answer = client.send(call(address, true)).await.expect("a response");
+                    answer.collect(10).await.expect("a body").bytes
+                };
+                if kept {
+                    expect_that!(ok().await, eq(b"ok"));
+                }
+                let bad = Call {
+                    path: "/bad",
+                    ..call(address, true)
+                };
+                let sent = tokio::time::timeout(Duration::from_secs(5), client.send(bad)).await;
+                let sent = sent.map(|sent| sent.map(|answer| answer.status));
+                let is_refused =
+                    matches!(sent, Ok(Err(ref e)) if !matches!(e, CallError::Unreachable(_)));
+                expect_that!(is_refused, eq(true), "{status:?}, kept {kept}: {sent:?}");
+                expect_that!(ok().await, eq(b"ok"), "{status:?}, kept {kept}");
+            });
+        }
+    }
+}
+
+/// Guards against the body of a response that has none and that passes for the response to the next call.
+#[gtest]
+fn send_body_of_bodiless_response() {
+    let body = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nbad";
+    for head in [
+        "HTTP/1.1 204 Empty\r\n",
+        "HTTP/1.1 304 Same\r\ncontent-length: 41\r\n",
+    ] {
+        // The body comes with its head, or when the client has read that.
+        for pause in [Duration::ZERO, Duration::from_millis(50)] {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+            let address = listener.local_addr().expect("bound");
+            thread::spawn(move || {
+                for stream in listener.incoming().flatten() {
+                    let mut stream = stream;
+                    thread::spawn(move || {
+                        let mut buffer = [0; 4096];
+                        while let Ok(length) = stream.read(&mut buffer)
+                            && length > 0
+                        {
+                            if !buffer[..length].starts_with(b"POST /empty") {
+                                let _ = stream.write_all(OK);
+                                continue;
+                            }
+                            let head = format!("{head}\r\n");
+                            if pause.is_zero() {
+                                let _ = stream.write_all(format!("{head}{body}").as_bytes());
+                                continue;
+                            }
+                            let _ = stream.write_all(head.as_bytes());
+                            thread::sleep(pause);
+                            let _ = stream.write_all(body.as_bytes());
+                        }
+                    });
+                }
+            });
+            run(async {
+                let client = Client::default();
+                let empty = Call {
+                    path: "/empty",
+                    ..call(address, true)
+                };
+                let mut answer = client.send(empty).await.expect("a response");
+                let collected = answer.collect(100).await.expect("an empty body");
+                expect_that!(collected.bytes, is_empty());
+                drop(answer);
+                tokio::time::sleep(2 * pause).await;
+                let mut answer = client.send(call(address, true)).await.expect("a response");
+                let collected = answer.collect(100).await.expect("a body");
+                expect_that!(collected.bytes, eq(b"ok"), "{head:?} {pause:?}");
+            });
+        }
+    }
+}
