--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -542,11 +542,6 @@
                 return Err(Failure::NoResponse(CallOutcome::Broken));
             }
         };
-        // The connection speaks another protocol now, which no call asked for.
-        if answer.status == 101 {
-            tracing::info!(request = self.info.id, "endpoint switched protocols");
-            return Err(Failure::NoResponse(CallOutcome::Broken));
-        }
         let response_info = dialect.response_info(answer.status, &answer.headers);
         let is_success = (200..300).contains(&answer.status);
         guard.stated_limit = response_info.limit.rate();
@@ -555,6 +550,8 @@
         }
         let first = match answer.next().await {
             Ok(first) => first,
+            // The head states that the request was not executed, whatever becomes of the body.
+            Err(_) if response_info.refused || response_info.misdirected => None,
             Err(error) => {
                 tracing::info!(request = self.info.id, %error, "answer broke off");
                 return Err(Failure::NoResponse(CallOutcome::Broken));
--- a/lib/src/upstream.rs
+++ b/lib/src/upstream/mod.rs
@@ -1,5 +1,9 @@
 //! HTTP client for calls to endpoints.
 //!
+//! It takes calls with the addresses of their endpoints, and returns answers whose end counts only if it shows that
+//! they are complete. Both the product's own interface and the platform's use it; it depends on
+//! [`crate::shared_stream`] and [`crate::supervision`] only, and makes no decision on repeating a call.
+//!
 //! A [`Client`] belongs to one event loop. A call uses a pooled connection if its sender allows it
 //! ([`Call::pooled`]). On a pooled connection that the endpoint is closing it can remain unknown whether
 //! the call ran. Dropping an [`Answer`] closes its connection immediately, which cancels the call at the
@@ -15,6 +19,7 @@
 use std::hash::Hasher as _;
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -40,6 +45,10 @@
 use crate::shared_stream::SharedStream;
 use crate::shared_stream::WeakStream;
 use crate::supervision;
+use crate::upstream::upload::UploadState;
+use crate::upstream::upload::UploadStream;
+
+mod upload;
 
 /// Maximum time for opening a connection to an endpoint.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -74,6 +83,10 @@
 /// Each call in progress may hold this much, whatever its endpoint sends.
 const MAX_READ_BYTES: usize = 16 << 10;
 
+/// Largest body of a call that is sent at once on any connection: TCP sends ten segments before it waits for an
+/// acknowledgement (RFC 6928).
+const MAX_INITIAL_BYTES: usize = 10 * 1_220;
+
 /// Maximum number of idle connections kept per endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 64;
 
@@ -84,6 +97,9 @@
 /// their IDs.
 const MAX_CALLS_PER_CONNECTION: usize = 1_024;
 
+/// Statuses of final responses (RFC 9110, section 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// The error for a call to an endpoint that failed.
 #[derive(Debug, Display, Error)]
 pub enum CallError {
@@ -96,6 +112,9 @@
     /// The response on the connection belongs to another call.
     #[display("the answer belongs to another call")]
     Mismatched,
+    /// The response has a status that ends no call, such as one of another protocol's.
+    #[display("{_0} is not the status of an answer")]
+    InvalidStatus(#[error(not(source))] u16),
 }
 
 /// A call to an endpoint.
@@ -186,6 +205,9 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     stream: WeakStream,
+    upload: UploadState,
+    /// Whether the endpoint may have answered the last call before it was sent whole.
+    may_be_uploading: bool,
     /// Whether earlier calls used the connection.
     reused: bool,
     /// The identified calls that the connection has carried.
@@ -198,6 +220,11 @@
     fn is_usable(&self, now: Instant) -> bool {
         !self.sender.is_closed() && now < self.until
     }
+
+    /// Returns whether a call would be sent at once, instead of after the rest of one that was answered early.
+    fn is_free(&self) -> bool {
+        !self.may_be_uploading || (self.upload.is_written() && self.stream.is_all_sent())
+    }
 }
 
 /// Hash of the value that identifies a call.
@@ -246,6 +273,9 @@
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortOnDrop,
     stream: WeakStream,
+    upload: UploadState,
+    /// Whether the endpoint may have answered before it was sent the whole call.
+    is_large: bool,
     client: Option<Client>,
 }
 
@@ -253,6 +283,10 @@
     /// Sends a call and returns when the head of the response has arrived.
     pub async fn send(&self, call: Call<'_>) -> Result<Answer, CallError> {
         let answer = self.send_unchecked(&call).await?;
+        // The parser accepts any three digits, and 101 for a connection that speaks another protocol from now on.
+        if !FINAL_STATUSES.contains(&answer.status) {
+            return Err(CallError::InvalidStatus(answer.status));
+        }
         match call.echo {
             Some(echo) if !matches_echo(&answer, echo) => Err(CallError::Mismatched),
             _ => Ok(answer),
@@ -312,12 +346,17 @@
             sender: Some(sender),
             task,
             stream: connection.stream,
+            upload: connection.upload,
+            is_large: call.body.len() > MAX_INITIAL_BYTES,
             client: call.pooled.then(|| self.clone()),
         })
     }
 
     /// Takes the newest idle connection that has not carried a call with the same ID.
     ///
+    /// An endpoint may answer a call early and read the rest of it later. That is still sent, but no other call waits
+    /// for it.
+    ///
     /// Bytes that arrived while a connection was idle belong to no call, and would pass for the response to
     /// this one if it names none.
     fn take_idle(&self, call: &Call<'_>) -> Option<Connection> {
@@ -331,7 +370,7 @@
         let id = call.echo.map(CallHash::from);
         let is_new = |c: &Connection| id.is_none_or(|id| !c.carried.contains(&id));
         loop {
-            let index = connections.iter().rposition(is_new)?;
+            let index = connections.iter().rposition(|c| is_new(c) && c.is_free())?;
             let connection = connections.remove(index);
             if connection.stream.is_quiet() {
                 return Some(connection);
@@ -388,6 +427,8 @@
     set_silence_timeouts(&stream);
     let stream = SharedStream::new(stream);
     let handle = stream.downgrade();
+    let stream = UploadStream::new(stream);
+    let upload = stream.state();
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_READ_BYTES)
         .handshake(TokioIo::new(stream))
@@ -400,6 +441,8 @@
         sender,
         task: task.abort_handle(),
         stream: handle,
+        upload,
+        may_be_uploading: false,
         reused: false,
         carried: Vec::new(),
         until: Instant::now() + IDLE_TIMEOUT,
@@ -497,9 +540,17 @@
     }
 
     /// Returns the next bytes of the body, or `None` at its end.
+    ///
+    /// The end of the connection is an error if it came before the call was sent whole, and else the end of a body
+    /// that has no other mark.
     pub async fn next(&mut self) -> io::Result<Option<Bytes>> {
         loop {
             let Some(frame) = self.body.frame().await else {
+                if self.delimiter == Delimiter::Close && !self.upload.ended_whole() {
+                    return Err(io::Error::other(
+                        "the connection failed, or ended before its call was sent",
+                    ));
+                }
                 self.return_to_pool();
                 return Ok(None);
             };
@@ -537,6 +588,8 @@
                 sender,
                 task,
                 stream: self.stream.clone(),
+                upload: self.upload.clone(),
+                may_be_uploading: self.is_large,
                 reused: true,
                 carried: std::mem::take(&mut self.carried),
                 until: Instant::now() + self.idle,
