--- a/lib/src/document_service.rs
+++ b/lib/src/document_service.rs
@@ -44,8 +44,8 @@
 /// Timeout for applying a command. Operators abandon a request after one second and try another instance.
 const APPLY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Time from the receipt of a document or an order after which it is acknowledged although instances that hold a view lease
-/// have not polled it; the rest of the second for which operators wait is for the way back.
+/// Time from the receipt of a document or an order after which it is acknowledged although instances that hold a
+/// view lease have not polled it; the rest of the second for which operators wait is for the way back.
 const MAX_SETTLE_TIME: Duration = Duration::from_millis(750);
 
 /// Handles the operators' requests about the configuration document and the evacuation of zones.
