Read which endpoints are cold, and what services say of them

The endpoint list states for how long an endpoint stays cold, and the configuration what a cold endpoint of a service accepts; the first was checked and dropped, the second not read. A listed endpoint now tells whether it is cold, a service the rate and the time. It is a boolean, so that a shared list changes when an endpoint turns warm and not with each reading, and only where a process asks for it (SharedList::tell_cold): elsewhere an endpoint that turns warm is no change of the list, as before.

--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -209,6 +209,9 @@
     pub leaving: bool,
     /// Whether the platform may reclaim the endpoint at short notice.
     pub reclaimable: bool,
+    /// Whether the endpoint has started a short time ago and accepts few requests. Shared lists tell this only in
+    /// deployments that bound the requests to such endpoints.
+    pub cold: bool,
 }
 
 /// A page of the platform's list of endpoints.
--- a/lib/src/route_table.rs
+++ b/lib/src/route_table.rs
@@ -10,6 +10,7 @@
 
 use rand::Rng;
 
+use crate::dialect::RequestRate;
 use crate::ids::RouteId;
 use crate::ids::ServiceId;
 use crate::ids::WorkspaceId;
@@ -110,6 +111,15 @@
     pub moves: bool,
 }
 
+/// What a service's endpoints accept for some time after their start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdSpec {
+    /// Requests per second that a cold endpoint accepts from all instances together.
+    pub rate: RequestRate,
+    /// Time from its start for which an endpoint is cold.
+    pub time: Duration,
+}
+
 /// Limits and prices for ordering endpoints of a service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Scaling {
@@ -133,6 +143,8 @@
     pub id: ServiceId,
     /// Properties of its engines, if its endpoints are model engines.
     pub engine: Option<EngineSpec>,
+    /// What its endpoints accept after their start, if they are to be spared then.
+    pub cold: Option<ColdSpec>,
     /// Limits and prices for ordering endpoints, if they can be ordered.
     pub scaling: Option<Scaling>,
 }
--- a/lib/src/shared_list.rs
+++ b/lib/src/shared_list.rs
@@ -4,8 +4,11 @@
 //! responses to their polls, as changes since the revision that they hold. An instance whose shared list
 //! is too old reads the list of the platform itself ([`crate::discovery`]).
 
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -245,19 +248,39 @@
 pub struct SharedList {
     published: Mutex<PublishedList>,
     copy: Mutex<ListCopy>,
+    /// Whether the list tells which endpoints are cold.
+    tells_cold: AtomicBool,
 }
 
 impl SharedList {
+    /// Makes the lists that this instance reads tell which endpoints are cold. Otherwise an endpoint that turns warm
+    /// is no change of the list.
+    pub fn tell_cold(&self) {
+        self.tells_cold.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns the endpoints with what the list tells of them.
+    fn told<'a>(&self, list: &'a [ListedEndpoint]) -> Cow<'a, [ListedEndpoint]> {
+        if self.tells_cold.load(Ordering::Relaxed) || !list.iter().any(|listed| listed.cold) {
+            return Cow::Borrowed(list);
+        }
+        let told = |listed: &ListedEndpoint| ListedEndpoint {
+            cold: false,
+            ..listed.clone()
+        };
+        Cow::Owned(list.iter().map(told).collect())
+    }
+
     /// Publishes a list that this instance read from the platform at `now`.
     pub fn publish(&self, now: Instant, epoch: u64, list: &[ListedEndpoint]) {
         let mut published = supervision::lock(&self.published);
-        published.replace(now, epoch, list);
+        published.replace(now, epoch, &self.told(list));
     }
 
     /// Publishes a page of the list that this instance is reading from the platform.
     pub fn publish_page(&self, epoch: u64, page: &[ListedEndpoint]) {
         let mut published = supervision::lock(&self.published);
-        published.merge_page(epoch, page);
+        published.merge_page(epoch, &self.told(page));
     }
 
     /// Publishes changes that were requested from another instance at `requested_at`. Changes that do not
--- a/lib/tests/test_endpoint_planner.rs
+++ b/lib/tests/test_endpoint_planner.rs
@@ -25,6 +25,7 @@
             slots: 64,
             memory: 600_000,
         }),
+        cold: None,
         scaling: Some(Scaling {
             min: 1,
             max: 6,
@@ -76,6 +77,7 @@
                 slots: 64,
                 leaving: false,
                 reclaimable: *reclaimable,
+                cold: false,
             }));
         }
         list
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -52,6 +52,7 @@
         slots: 64,
         leaving: false,
         reclaimable: false,
+        cold: false,
     }
 }
 
--- a/lib/tests/test_odd_messages.rs
+++ b/lib/tests/test_odd_messages.rs
@@ -77,6 +77,7 @@
         slots,
         leaving: false,
         reclaimable: false,
+        cold: false,
     }
 }
 
--- a/lib/tests/test_route_table.rs
+++ b/lib/tests/test_route_table.rs
@@ -45,6 +45,7 @@
     Service {
         id: name.into(),
         engine: None,
+        cold: None,
         scaling: None,
     }
 }
--- a/lib/tests/test_shared_list.rs
+++ b/lib/tests/test_shared_list.rs
@@ -18,6 +18,7 @@
         slots: 8,
         leaving,
         reclaimable: false,
+        cold: false,
     }
 }
 
@@ -26,6 +27,25 @@
     Some(list.iter().map(|listed| listed.id.to_string()).collect())
 }
 
+/// Guards against endpoints that turn warm and count as changes where no deployment asks for it.
+#[gtest]
+fn publish_cold_endpoints() {
+    let now = Instant::now();
+    for tells_cold in [false, true] {
+        let list = SharedList::default();
+        if tells_cold {
+            list.tell_cold();
+        }
+        let mut endpoint = listed(1, false);
+        endpoint.cold = true;
+        list.publish(now, 1, std::slice::from_ref(&endpoint));
+        let revision = list.revision();
+        endpoint.cold = false;
+        list.publish(now, 1, &[endpoint]);
+        expect_that!(list.revision() != revision, eq(tells_cold));
+    }
+}
+
 /// Guards against deltas that repeat unchanged endpoints, and against a copy that expires although the list
 /// was read again without changes.
 #[gtest]
