Bound the requests of all instances to a cold endpoint

Cause: an endpoint that has just started is idle, so all instances choose it at once, while it accepts few requests and ends under many. Without contact to the leader nothing is sent there. An endpoint that failed, came back or whose zone is used again is suspect for all instances until the list describes a later time. Switch: cold_overrun in the settings and a positive rate at the service.

--- a/lib/src/cluster_control.rs
+++ b/lib/src/cluster_control.rs
@@ -170,11 +170,16 @@
     pub fn observe_limit(&self, endpoint: u64, observation: LimitObservation) -> bool {
         let is_changed = self.endpoint_limits().observe(endpoint, observation);
         if is_changed {
-            self.shared.limits_changed.notify_one();
+            self.tell_limits();
         }
         is_changed
     }
 
+    /// Tells the other instances that limits of endpoints have changed.
+    pub fn tell_limits(&self) {
+        self.shared.limits_changed.notify_one();
+    }
+
     /// Returns the sightings received from other instances since the last call.
     pub fn take_sightings(&self) -> Vec<PrefixHint> {
         self.shared.received_sightings.take()
--- /dev/null
+++ b/lib/src/cold/watch.rs
@@ -0,0 +1,109 @@
+//! Carries out what [`crate::cold::tracker`] decides: states limits to all instances, and logs.
+
+use std::sync::Mutex;
+use std::time::Instant;
+
+use crate::affinity;
+use crate::cluster_control::ClusterControl;
+use crate::cold::rate::ColdTerms;
+use crate::cold::tracker::ColdChange;
+use crate::cold::tracker::ColdTracker;
+use crate::cold::tracker::ListState;
+use crate::dialect::ListedEndpoint;
+use crate::endpoint_limit::LimitTable;
+use crate::ids::ZoneId;
+use crate::route_table::RouteTable;
+use crate::shared_list::ListRevision;
+use crate::supervision;
+
+/// The cold endpoints as known to an instance that serves callers.
+pub struct ColdWatch {
+    tracker: Mutex<ColdTracker>,
+    control: ClusterControl,
+}
+
+impl ColdWatch {
+    /// Creates a watch; without `terms` it does nothing.
+    pub fn new(control: ClusterControl, terms: Option<ColdTerms>) -> Self {
+        Self {
+            tracker: Mutex::new(ColdTracker::new(terms)),
+            control,
+        }
+    }
+
+    /// Applies the services of a routing table.
+    pub fn set_services(&self, now: Instant, table: &RouteTable) {
+        let services = table.services();
+        let cold = services.filter_map(|service| Some((&service.id, service.cold.as_ref()?)));
+        self.decide(|tracker, limits| {
+            tracker.set_services(now, cold, limits);
+            Vec::new()
+        });
+        // The list that is in use may have come first.
+        if let Some((read_at, revision, list)) = self.control.endpoint_list().fresh(now) {
+            self.update(now, read_at, revision, &list);
+        }
+    }
+
+    /// Applies the endpoint list that was read at `read_at`, before requests are sent to its endpoints.
+    pub fn update(
+        &self,
+        now: Instant,
+        read_at: Instant,
+        revision: ListRevision,
+        endpoints: &[ListedEndpoint],
+    ) {
+        let version = match revision {
+            revision if revision == ListRevision::default() => rand::random(),
+            revision => affinity::mix(revision.epoch, revision.number),
+        };
+        let list = ListState {
+            read_at,
+            version,
+            endpoints,
+        };
+        self.decide(|tracker, limits| tracker.update(now, list, limits));
+    }
+
+    /// Records that a call failed at an endpoint.
+    pub fn suspect(&self, now: Instant, endpoint: &ListedEndpoint) {
+        self.decide(|tracker, limits| {
+            let change = tracker.suspect(now, endpoint, rand::random(), limits);
+            change.into_iter().collect()
+        });
+    }
+
+    /// Records that the endpoints of an availability zone are used again after a time without requests.
+    pub fn suspect_zone(&self, now: Instant, zone: &ZoneId) {
+        self.decide(|tracker, limits| tracker.suspect_zone(now, zone, rand::random(), limits));
+    }
+
+    /// Returns the number of listed endpoints that are cold.
+    pub fn cold_count(&self) -> usize {
+        supervision::lock(&self.tracker).cold_count()
+    }
+
+    /// Calls a decision, tells the other instances if limits changed, and logs what it returns.
+    fn decide(&self, decide: impl FnOnce(&mut ColdTracker, &mut LimitTable) -> Vec<ColdChange>) {
+        let mut tracker = supervision::lock(&self.tracker);
+        let mut limits = self.control.endpoint_limits();
+        let revision = limits.revision();
+        let changes = decide(&mut tracker, &mut limits);
+        let is_changed = limits.revision() != revision;
+        drop(limits);
+        drop(tracker);
+        if is_changed {
+            self.control.tell_limits();
+        }
+        for change in changes {
+            let (endpoint, service) = (&change.endpoint, &change.service);
+            match change.cold {
+                Some((reason, rate)) => {
+                    let rate = rate.per_second();
+                    tracing::info!(%endpoint, %service, %reason, rate, "endpoint cold");
+                }
+                None => tracing::info!(%endpoint, %service, "endpoint warm"),
+            }
+        }
+    }
+}
--- a/lib/src/discovery.rs
+++ b/lib/src/discovery.rs
@@ -22,6 +22,7 @@
 
 use crate::clock::Clock;
 use crate::cluster_control::ClusterControl;
+use crate::cold::watch::ColdWatch;
 use crate::control::Control;
 use crate::control_core::MAX_DIRECT_POLLERS;
 use crate::dialect::Dialect;
@@ -91,6 +92,8 @@
     pub control: ClusterControl,
     /// Receives the list.
     pub fleet: Arc<Mutex<Fleet>>,
+    /// Receives the list before the fleet does.
+    pub cold: Arc<ColdWatch>,
     /// Notifies of changes of the list.
     pub changed: watch::Sender<()>,
 }
@@ -183,6 +186,7 @@
         };
         self.missing_since = None;
         self.has_list = true;
+        config.cold.update(now, read_at, revision, &list);
         if revision != self.held {
             self.held = revision;
             install(config, read_at, list);
@@ -212,7 +216,10 @@
                 }
                 if reading.is_complete || !self.has_list {
                     self.has_list = true;
-                    install(config, config.clock.now(), reading.list);
+                    let now = config.clock.now();
+                    let revision = ListRevision::default();
+                    config.cold.update(now, now, revision, &reading.list);
+                    install(config, now, reading.list);
                 }
                 read_interval(config, reading.pages).max(MIN_READ_INTERVAL)
             }
--- a/lib/src/endpoint_limit.rs
+++ b/lib/src/endpoint_limit.rs
@@ -13,6 +13,8 @@
 //!   its end from the sending of the request that proves it; the later one counts.
 //! * No leader, or an instance that is cut off: permits expire. After [`CONTACT_TIMEOUT`] the instance uses
 //!   its part of the limit, in random slots that do not accumulate.
+//! * An endpoint that is cold ([`crate::cold`]): its limit is kept beside a stated one, under a key of its own, and the
+//!   smaller one of both applies.
 //! * A limit above the demand: permits that nobody asks for are held in reserve by the instances, so that a
 //!   request does not have to wait for a poll.
 //! * A limit without requests: a permit is made at least every 10 s, since only a response shows that the
@@ -68,6 +70,9 @@
 /// Maximum number of requests that are counted; more are not permitted at once.
 const MAX_DEMAND: usize = 256;
 
+/// Distinguishes the key of the limit that an endpoint has while it is cold from that of a stated one.
+const COLD_SALT: u64 = 0x636f_6c64;
+
 /// Maximum number of endpoints in a message, at about 30 bytes each.
 const MAX_ROWS: usize = 128;
 
@@ -162,6 +167,29 @@
     Blocked(RequestRate),
 }
 
+impl Admission {
+    /// Returns the admission under both of two limits, with the smaller rate.
+    fn and(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Unlimited, admission) | (admission, Self::Unlimited) => admission,
+            (Self::Permitted(rate), Self::Permitted(other)) => Self::Permitted(rate.min(other)),
+            (Self::Permitted(rate) | Self::Blocked(rate), Self::Blocked(other))
+            | (Self::Blocked(rate), Self::Permitted(other)) => Self::Blocked(rate.min(other)),
+        }
+    }
+}
+
+/// The newest observation of a limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HeldObservation {
+    /// The limit, or `None` if it has ended.
+    pub rate: Option<RequestRate>,
+    /// Time from which it counts.
+    pub at: Instant,
+    /// The number that identifies the observation.
+    pub id: u64,
+}
+
 /// The newest observation of an endpoint's limit.
 #[derive(Clone, Copy, Debug)]
 struct Record {
@@ -355,6 +383,27 @@
         self.revision
     }
 
+    /// Returns the key under which the limit of an endpoint is kept that it has while it is cold.
+    pub fn cold_key(endpoint: u64) -> u64 {
+        affinity::mix(endpoint, COLD_SALT)
+    }
+
+    /// Returns whether an endpoint is cold.
+    pub fn is_cold(&self, endpoint: u64) -> bool {
+        let held = self.observed(Self::cold_key(endpoint));
+        held.is_some_and(|held| held.rate.is_some())
+    }
+
+    /// Returns the newest observation of a limit.
+    pub fn observed(&self, key: u64) -> Option<HeldObservation> {
+        let known = self.endpoints.get(&key)?;
+        Some(HeldObservation {
+            rate: known.record.rate,
+            at: known.record.at,
+            id: known.record.observation,
+        })
+    }
+
     /// Records what a response stated; returns whether the limit changed.
     pub fn observe(&mut self, endpoint: u64, observation: LimitObservation) -> bool {
         let known = self.endpoints.get(&endpoint).map(|known| known.record);
@@ -394,15 +443,30 @@
     }
 
     /// Returns whether an endpoint accepts a request of this instance now.
+    ///
+    /// A cold endpoint accepts requests with permits only, also without contact to the leader: the slots of instances
+    /// are bounded on average and not in each second.
     pub fn admission(&self, now: Instant, endpoint: u64) -> Admission {
-        let known = self.endpoints.get(&endpoint);
+        let cold = self.admission_by(now, Self::cold_key(endpoint), |_, _| false);
+        let stated = self.admission_by(now, endpoint, |known, rate| {
+            let slot = self.slot(now, endpoint, rate);
+            slot.is_some_and(|slot| known.slot_use(slot) < slot.allowance)
+        });
+        stated.and(cold)
+    }
+
+    /// Returns whether the limit with this key allows a request; `has_slot` is asked if there is no permit.
+    fn admission_by(
+        &self,
+        now: Instant,
+        key: u64,
+        has_slot: impl FnOnce(&Endpoint, RequestRate) -> bool,
+    ) -> Admission {
+        let known = self.endpoints.get(&key);
         let Some((known, rate)) = known.and_then(|known| Some((known, known.record.rate?))) else {
             return Admission::Unlimited;
         };
-        let is_permitted = known.stock.count(now) > 0
-            || self
-                .slot(now, endpoint, rate)
-                .is_some_and(|slot| known.slot_use(slot) < slot.allowance);
+        let is_permitted = known.stock.count(now) > 0 || has_slot(known, rate);
         match is_permitted {
             true => Admission::Permitted(rate),
             false => Admission::Blocked(rate),
@@ -411,13 +475,20 @@
 
     /// Records a request that would have been sent to an endpoint if its limit had allowed it.
     pub fn want(&mut self, now: Instant, endpoint: u64) {
-        if let Some(known) = self.endpoints.get_mut(&endpoint) {
-            known.add_demand(now);
+        for key in [endpoint, Self::cold_key(endpoint)] {
+            if let Some(known) = self.endpoints.get_mut(&key) {
+                known.add_demand(now);
+            }
         }
     }
 
     /// Takes a permit for a request to an endpoint, if that has a limit.
     pub fn take(&mut self, now: Instant, endpoint: u64) {
+        let cold = self.endpoints.get_mut(&Self::cold_key(endpoint));
+        if let Some(cold) = cold.filter(|cold| cold.record.rate.is_some()) {
+            cold.add_demand(now);
+            cold.stock.charge(now);
+        }
         let known = self.endpoints.get(&endpoint);
         let Some(rate) = known.and_then(|known| known.record.rate) else {
             return;
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -31,6 +31,7 @@
 use crate::clock::Clock;
 use crate::cluster_control::ClusterControl;
 use crate::code::ResultCode;
+use crate::cold::watch::ColdWatch;
 use crate::control::Control;
 use crate::control_core::POLL_TIMEOUT;
 use crate::crash_tracker::CrashTracker;
@@ -114,6 +115,8 @@
     pub clock: Arc<dyn Clock>,
     /// Load and availability of the endpoints, as known to this instance.
     pub fleet: Arc<Mutex<Fleet>>,
+    /// Endpoints that accept few requests after their start.
+    pub cold: Arc<ColdWatch>,
     /// Notifies of changes to the endpoint list.
     pub changes: watch::Receiver<()>,
     /// Maximum time for which the configuration is served without contact to the group.
@@ -245,8 +248,10 @@
         }
     }
 
-    /// Passes the engine specifications of all services to the fleet.
+    /// Passes the specifications of all services on to what depends on them.
     fn update_engines(&self, table: &RouteTable) {
+        let now = self.settings.clock.now();
+        self.settings.cold.set_services(now, table);
         let mut fleet = supervision::lock(&self.settings.fleet);
         for service in table.services() {
             if let Some(engine) = &service.engine {
@@ -565,6 +570,11 @@
             .expect("crash tracker lock poisoned")
     }
 
+    /// Returns the endpoints that accept few requests after their start.
+    pub(crate) fn cold(&self) -> Arc<ColdWatch> {
+        self.settings.cold.clone()
+    }
+
     /// Locks the fleet.
     pub(crate) fn fleet(&self) -> std::sync::MutexGuard<'_, Fleet> {
         supervision::lock(&self.settings.fleet)
--- a/lib/src/forward_crash.rs
+++ b/lib/src/forward_crash.rs
@@ -93,6 +93,9 @@
         if outcome == CallOutcome::Served && is_success {
             self.record_part_answers(prints);
         }
+        if matches!(outcome, CallOutcome::Broken | CallOutcome::Unreachable) {
+            self.settings.cold.suspect(now, listed);
+        }
         match outcome {
             CallOutcome::Served | CallOutcome::Failed => {
                 let note = self.crash_tracker().answered(now, prints.request);
--- a/lib/src/forward_limit.rs
+++ b/lib/src/forward_limit.rs
@@ -39,6 +39,9 @@
         };
         if let Some(endpoint) = passed_over {
             limits.want(now, endpoint);
+            if limits.is_cold(endpoint) {
+                self.settings.metrics.passed_over_cold(query.service);
+            }
         }
         choice
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod clock;
 pub mod cluster_control;
 pub mod code;
+pub mod cold;
 pub mod command;
 pub mod control;
 mod control_answer;
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -17,6 +17,8 @@
 use crate::clock::Clock;
 use crate::clock::SystemClock;
 use crate::cluster_control::ClusterControl;
+use crate::cold::rate::ColdTerms;
+use crate::cold::watch::ColdWatch;
 use crate::command::UsageTerms;
 use crate::control_core::MAX_DIRECT_POLLERS;
 use crate::control_core::PeerAddress;
@@ -104,6 +106,8 @@
     pub grace: Duration,
     /// Maximum time for which a configuration is served without contact to the group.
     pub stale_limit: Duration,
+    /// Bounds for the requests to cold endpoints; without them, endpoints are not treated as cold.
+    pub cold: Option<ColdTerms>,
 }
 
 /// A running process.
@@ -122,6 +126,9 @@
     pub fn start(settings: NodeSettings, dialect: Arc<dyn Dialect>) -> eyre::Result<Self> {
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
         let control = start_control(&settings, clock.clone())?;
+        if settings.cold.is_some() {
+            control.control().endpoint_list().tell_cold();
+        }
         let metrics = TrafficMetrics::new()?;
         let mut node = Self {
             control,
@@ -148,6 +155,7 @@
                 metrics,
                 control: node.control.control(),
                 clock: clock.clone(),
+                cold: node.forwarder.as_ref().map(|forwarder| forwarder.cold()),
             };
             let server = Server::start(address, WORKERS, Arc::new(service));
             node.others.push(server.wrap_err("cannot serve metrics")?);
@@ -172,12 +180,14 @@
         metrics: TrafficMetrics,
     ) -> eyre::Result<()> {
         let fleet = Arc::new(Mutex::new(Fleet::new(self.settings.zone.clone())));
+        let cold = Arc::new(ColdWatch::new(self.control.control(), self.settings.cold));
         let (changed, changes) = watch::channel(());
         let forwarder = Forwarder::new(forward::Settings {
             control: self.control.control(),
             dialect: dialect.clone(),
             clock: clock.clone(),
             fleet: fleet.clone(),
+            cold: cold.clone(),
             changes,
             stale_limit: self.settings.stale_limit,
             fingerprinter: fingerprinter(&self.settings.secrets)?,
@@ -192,6 +202,7 @@
                 clock: clock.clone(),
                 control: self.control.control(),
                 fleet,
+                cold,
                 changed,
             })?);
         }
@@ -344,12 +355,15 @@
     metrics: TrafficMetrics,
     control: ClusterControl,
     clock: Arc<dyn Clock>,
+    cold: Option<Arc<ColdWatch>>,
 }
 
 impl Service for MetricsService {
     async fn call(&self, request: Request) -> std::io::Result<Response> {
         let age = self.control.view_age(self.clock.now());
         self.metrics.view(age, self.control.lease_ends());
+        let cold = self.cold.as_ref().map_or(0, |cold| cold.cold_count());
+        self.metrics.cold(cold);
         Ok(match request.uri().path() == METRICS_PATH {
             true => answer::plain(200, "text/plain; version=0.0.4", self.metrics.text()),
             false => answer::plain(404, answer::JSON, "{}"),
--- a/lib/src/traffic_metrics.rs
+++ b/lib/src/traffic_metrics.rs
@@ -29,6 +29,8 @@
     ends: IntCounterVec,
     crashes: IntCounterVec,
     limited: IntCounterVec,
+    cold: IntGauge,
+    passed_over_cold: IntCounterVec,
     view_age: Gauge,
     lease_ends: IntGauge,
     total: HistogramVec,
@@ -74,6 +76,17 @@
                 ),
                 &["service"],
             )?,
+            cold: IntGauge::new(
+                "fulmarford_cold_endpoints",
+                "Listed endpoints that accept few requests after their start",
+            )?,
+            passed_over_cold: IntCounterVec::new(
+                Opts::new(
+                    "fulmarford_cold_passed_over",
+                    "Requests that a cold endpoint would have got with a permit",
+                ),
+                &["service"],
+            )?,
             view_age: Gauge::new(
                 "fulmarford_view_age_seconds",
                 "Time since the configuration was known to be up to date",
@@ -102,6 +115,10 @@
         metrics
             .registry
             .register(Box::new(metrics.limited.clone()))?;
+        metrics.registry.register(Box::new(metrics.cold.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.passed_over_cold.clone()))?;
         metrics
             .registry
             .register(Box::new(metrics.view_age.clone()))?;
@@ -149,6 +166,17 @@
         self.limited.with_label_values(&[service.as_str()]).inc();
     }
 
+    /// Sets the number of listed endpoints that are cold.
+    pub fn cold(&self, count: usize) {
+        self.cold.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a request that a cold endpoint would have got with a permit.
+    pub fn passed_over_cold(&self, service: &ServiceId) {
+        let passed_over = &self.passed_over_cold;
+        passed_over.with_label_values(&[service.as_str()]).inc();
+    }
+
     /// Counts a run whose engine shut down, by what became of the run.
     pub fn moved(&self, outcome: MoveOutcome) {
         let outcome = outcome.to_string();
