Suspect endpoints that accept no connection, and not those whose calls break off

Cause: each call that broke off made its endpoint suspect, and each endpoint that turned cold or warm at an instance interrupted its poll and woke the pollers of its relay. Change: only a refused or missing connection counts, at a call or at the probe that follows a broken one, and only that interrupts polls, since all instances read the same list.

--- a/lib/src/cold/tracker.rs
+++ b/lib/src/cold/tracker.rs
@@ -5,7 +5,7 @@
 //! * An endpoint that starts while requests come: it is idle, so all instances would prefer it at once. It is cold
 //!   from its first appearance on the list until a later state of the list says otherwise.
 //! * An endpoint, or all those of an availability zone, that end and return under the same name before the list
-//!   shows it: a call that failed makes the endpoint suspect, for all instances within a poll.
+//!   shows it: a connection that fails makes the endpoint suspect, for all instances within a poll.
 //! * An availability zone that is used again after it was empty: its endpoints are suspect from that moment.
 //!
 //! The list describes the past. What it says counts from the time that it describes, as do the statements of
@@ -53,7 +53,7 @@
     Appeared,
     /// The endpoint was leaving and no longer is, or it has another address.
     Returned,
-    /// A call there failed, so the endpoint may have started again.
+    /// It accepted no connection, so it may have started again since.
     Failed,
     /// Its availability zone is used again.
     Refilled,
@@ -72,6 +72,14 @@
     pub cold: Option<(Reason, RequestRate)>,
 }
 
+impl ColdChange {
+    /// Returns whether only this instance may know of the change.
+    pub fn is_noticed(&self) -> bool {
+        let reason = self.cold.map(|(reason, _)| reason);
+        matches!(reason, Some(Reason::Failed | Reason::Refilled))
+    }
+}
+
 /// A list of endpoints and when it was read.
 #[derive(Clone, Copy, Debug)]
 pub struct ListState<'a> {
@@ -224,7 +232,7 @@
         changes
     }
 
-    /// Records that a call failed at an endpoint, which may have started again since; `number` is a random number.
+    /// Records that an endpoint accepted no connection, so that it may have started again since; `number` is a random number.
     /// Returns the statement for all instances, if there is a new one.
     pub fn suspect(
         &mut self,
--- a/lib/src/cold/watch.rs
+++ b/lib/src/cold/watch.rs
@@ -65,7 +65,7 @@
         self.decide(|tracker, limits| tracker.update(now, list, limits));
     }
 
-    /// Records that a call failed at an endpoint.
+    /// Records that an endpoint accepted no connection.
     pub fn suspect(&self, now: Instant, endpoint: &ListedEndpoint) {
         self.decide(|tracker, limits| {
             let change = tracker.suspect(now, endpoint, rand::random(), limits);
@@ -83,16 +83,13 @@
         supervision::lock(&self.tracker).cold_count()
     }
 
-    /// Calls a decision, tells the other instances if limits changed, and logs what it returns.
+    /// Calls a decision, tells the other instances at once what they cannot know, and logs what it returns.
     fn decide(&self, decide: impl FnOnce(&mut ColdTracker, &mut LimitTable) -> Vec<ColdChange>) {
         let mut tracker = supervision::lock(&self.tracker);
-        let mut limits = self.control.endpoint_limits();
-        let revision = limits.revision();
-        let changes = decide(&mut tracker, &mut limits);
-        let is_changed = limits.revision() != revision;
-        drop(limits);
+        let changes = decide(&mut tracker, &mut self.control.endpoint_limits());
         drop(tracker);
-        if is_changed {
+        // All instances read the same list; only what this one noticed itself is news to them.
+        if changes.iter().any(ColdChange::is_noticed) {
             self.control.tell_limits();
         }
         for change in changes {
--- a/lib/src/forward_crash.rs
+++ b/lib/src/forward_crash.rs
@@ -93,7 +93,8 @@
         if outcome == CallOutcome::Served && is_success {
             self.record_part_answers(prints);
         }
-        if matches!(outcome, CallOutcome::Broken | CallOutcome::Unreachable) {
+        // A call that breaks off shows no restart, as links fail and endpoints abort single calls; the probe after it may.
+        if outcome == CallOutcome::Unreachable {
             self.settings.cold.suspect(now, listed);
         }
         match outcome {
@@ -175,6 +176,9 @@
     /// Records the crash of an endpoint and reports it to the leader.
     fn record_crash(&self, listed: &ListedEndpoint, evidence: Evidence) {
         let now = self.settings.clock.now();
+        if !matches!(evidence, Evidence::Replaced) {
+            self.settings.cold.suspect(now, listed);
+        }
         let notes = self.crash_tracker().record_crash(now, &listed.id);
         if notes.is_empty() {
             return;
