--- a/lib/src/forward_limit.rs
+++ b/lib/src/forward_limit.rs
@@ -44,6 +44,9 @@
         };
         if let Some(endpoint) = passed_over {
             limits.want(now, endpoint);
+            if limits.is_cold(endpoint) {
+                self.settings.metrics.passed_over_cold(query.service);
+            }
         }
         choice
     }
@@ -56,6 +59,7 @@
         };
         let changes = fleet.apply_evacuations(now, view.evacuated_zones());
         evacuation::log_changes(view.version(), &changes);
+        self.settings.cold.refill(now, &changes);
     }
 
     /// Returns whether endpoints of a zone get no new requests, according to the newest view.
