Let failed endpoints interrupt polls twice a second at most

Cause: each endpoint that an instance found closed interrupted its poll. A poll is held for up to 250 ms, so that many such endpoints in a row, as when an availability zone ends, could keep an instance from any answer, and from the endpoint list with it. Change: what comes within half a second of the last interruption is told with the next poll.

--- a/lib/src/cold/tracker.rs
+++ b/lib/src/cold/tracker.rs
@@ -40,6 +40,10 @@
 /// Interval at which failures of the same endpoint are stated again.
 const SUSPICION_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Shortest interval at which what this instance noticed interrupts polls. What comes in between is told with the next
+/// one, while a poll that is interrupted again and again would never be answered.
+const TELL_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Marks the observations that are suspicions after a failure, in the number that identifies them.
 const SUSPICION_BIT: u64 = 1;
 
@@ -73,8 +77,8 @@
 }
 
 impl ColdChange {
-    /// Returns whether only this instance may know of the change.
-    pub fn is_noticed(&self) -> bool {
+    /// Returns whether only this instance may know of the change; all read the same list.
+    fn is_noticed(&self) -> bool {
         let reason = self.cold.map(|(reason, _)| reason);
         matches!(reason, Some(Reason::Failed | Reason::Refilled))
     }
@@ -123,6 +127,8 @@
     terms: Option<ColdTerms>,
     services: HashMap<ServiceId, Service>,
     endpoints: HashMap<EndpointId, Known>,
+    /// When a change last was to be told at once.
+    told_at: Option<Instant>,
 }
 
 impl ColdTracker {
@@ -132,6 +138,7 @@
             terms,
             services: HashMap::new(),
             endpoints: HashMap::new(),
+            told_at: None,
         }
     }
 
@@ -146,6 +153,17 @@
         self.endpoints.values().filter(is_cold).count()
     }
 
+    /// Returns whether the other instances are to be told of the changes at once.
+    pub fn should_tell(&mut self, now: Instant, changes: &[ColdChange]) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < TELL_INTERVAL;
+        let tells =
+            changes.iter().any(ColdChange::is_noticed) && !self.told_at.is_some_and(is_recent);
+        if tells {
+            self.told_at = Some(now);
+        }
+        tells
+    }
+
     /// Sets the services with endpoints that may be cold, and lifts the limits of the others.
     pub fn set_services<'a>(
         &mut self,
--- a/lib/src/cold/watch.rs
+++ b/lib/src/cold/watch.rs
@@ -35,7 +35,7 @@
     pub fn set_services(&self, now: Instant, table: &RouteTable) {
         let services = table.services();
         let cold = services.filter_map(|service| Some((&service.id, service.cold.as_ref()?)));
-        self.decide(|tracker, limits| {
+        self.decide(now, |tracker, limits| {
             tracker.set_services(now, cold, limits);
             Vec::new()
         });
@@ -62,12 +62,12 @@
             version,
             endpoints,
         };
-        self.decide(|tracker, limits| tracker.update(now, list, limits));
+        self.decide(now, |tracker, limits| tracker.update(now, list, limits));
     }
 
     /// Records that an endpoint accepted no connection.
     pub fn suspect(&self, now: Instant, endpoint: &ListedEndpoint) {
-        self.decide(|tracker, limits| {
+        self.decide(now, |tracker, limits| {
             let change = tracker.suspect(now, endpoint, rand::random(), limits);
             change.into_iter().collect()
         });
@@ -75,7 +75,9 @@
 
     /// Records that the endpoints of an availability zone are used again after a time without requests.
     pub fn suspect_zone(&self, now: Instant, zone: &ZoneId) {
-        self.decide(|tracker, limits| tracker.suspect_zone(now, zone, rand::random(), limits));
+        self.decide(now, |tracker, limits| {
+            tracker.suspect_zone(now, zone, rand::random(), limits)
+        });
     }
 
     /// Returns the number of listed endpoints that are cold.
@@ -84,12 +86,16 @@
     }
 
     /// Calls a decision, tells the other instances at once what they cannot know, and logs what it returns.
-    fn decide(&self, decide: impl FnOnce(&mut ColdTracker, &mut LimitTable) -> Vec<ColdChange>) {
+    fn decide(
+        &self,
+        now: Instant,
+        decide: impl FnOnce(&mut ColdTracker, &mut LimitTable) -> Vec<ColdChange>,
+    ) {
         let mut tracker = supervision::lock(&self.tracker);
         let changes = decide(&mut tracker, &mut self.control.endpoint_limits());
+        let tells = tracker.should_tell(now, &changes);
         drop(tracker);
-        // All instances read the same list; only what this one noticed itself is news to them.
-        if changes.iter().any(ColdChange::is_noticed) {
+        if tells {
             self.control.tell_limits();
         }
         for change in changes {
--- a/lib/tests/test_cold.rs
+++ b/lib/tests/test_cold.rs
@@ -366,6 +366,13 @@
         .tracker
         .suspect(at(100), &list[0], 7, &mut instance.table);
     expect_that!(change, some(anything()));
+    let changes = Vec::from_iter(change);
+    let tracker = &mut instance.tracker;
+    expect_that!(tracker.should_tell(at(100), &changes), eq(true));
+    // Polls that are interrupted all the time are never answered.
+    expect_that!(tracker.should_tell(at(400), &changes), eq(false));
+    expect_that!(tracker.should_tell(at(600), &changes), eq(true));
+    expect_that!(tracker.should_tell(at(2_000), &[]), eq(false));
     // Another instance is told with a poll.
     let mut leader = LimitTable::new(start, 3);
     leader.collect(at(110), &"e".into(), &instance.table.report(at(110)));
