Learn the pace of each engine, and place responses where they end in time

Cause: one prefill rate serves all engines of a service, and the expected time ends at the first byte. With engines of 0.7, 0.7 and 1.7 times the usual speed, as many long responses go to slow engines as to quick ones and are cut there by their deadlines. All instances rank by the same news.

Change: once an endpoint of a service states its pace, instances add up events and times of streams by engine in their polls (lib/src/pace), estimate the factor on work at each engine and the end of each response, and rank an engine at which it ends late behind the others. Such a service is ranked by requests over slots times speed, of two engines drawn at random by capacity (lib/src/balance).

--- a/lib/src/traffic_metrics.rs
+++ b/lib/src/traffic_metrics.rs
@@ -15,6 +15,7 @@
 use crate::code::ResultCode;
 use crate::hand_over::MoveOutcome;
 use crate::ids::ServiceId;
+use crate::pace::PaceMetrics;
 
 /// Upper bounds of the latency buckets in seconds, three for each power of ten.
 const LATENCY_BUCKETS: [f64; 11] = [0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0];
@@ -33,6 +34,7 @@
     lease_ends: IntGauge,
     total: HistogramVec,
     first: HistogramVec,
+    pace: PaceMetrics,
 }
 
 impl TrafficMetrics {
@@ -42,8 +44,10 @@
             let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
             HistogramVec::new(options, &["service"])
         };
+        let registry = Registry::new();
         let metrics = Self {
-            registry: Registry::new(),
+            pace: PaceMetrics::new(&registry)?,
+            registry,
             served: IntCounterVec::new(
                 Opts::new("fulmarford_answers", "Answers of endpoints passed on"),
                 &["service", "status"],
@@ -149,6 +153,11 @@
         self.limited.with_label_values(&[service.as_str()]).inc();
     }
 
+    /// Returns the metrics of services whose endpoints state a pace.
+    pub fn pace(&self) -> &PaceMetrics {
+        &self.pace
+    }
+
     /// Counts a run whose engine shut down, by what became of the run.
     pub fn moved(&self, outcome: MoveOutcome) {
         let outcome = outcome.to_string();
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -105,6 +105,7 @@
             draw: 0.0,
             tie_breaker: 0,
             is_large_cluster: self.is_large_cluster,
+            events: None,
         }
     }
 
@@ -1062,6 +1063,7 @@
             parts: &parts,
             time_left: Duration::MAX,
             is_large_cluster: true,
+            events: None,
             excluded: &[],
             total: fixture.total,
             urgency: 2,
