--- a/lib/tests/test_even_load.rs
+++ b/lib/tests/test_even_load.rs
@@ -104,6 +104,7 @@
         slots: SLOTS,
         leaving: false,
         reclaimable: false,
+        cold: false,
     };
     let engine = |number: usize| Engine {
         speed: speeds[number % 3],
--- a/lib/tests/test_pace.rs
+++ b/lib/tests/test_pace.rs
@@ -198,6 +198,7 @@
             slots: 16,
             leaving: false,
             reclaimable: false,
+            cold: false,
         };
         fleet.update_list(now, ["slow", "usual", "quick"].map(listed).into());
         let mut engines = Self {
