--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod cluster_control;
 pub mod code;
 pub mod command;
+pub mod config_check;
 pub mod control;
 mod control_answer;
 pub mod control_core;
--- a/lib/src/route_table.rs
+++ b/lib/src/route_table.rs
@@ -338,6 +338,12 @@
         self.keys.get(key)
     }
 
+    /// Returns the keys with their owners in no particular order.
+    pub(crate) fn keys(&self) -> impl Iterator<Item = (&str, &Caller)> {
+        let keys = self.keys.iter();
+        keys.map(|(key, caller)| (key.as_str(), caller.as_ref()))
+    }
+
     /// Returns whether requests on a route need a key.
     pub fn needs_key(&self, route: &Route) -> bool {
         self.requires_keys && !route.open
--- a/lib/src/rule_check.rs
+++ b/lib/src/rule_check.rs
@@ -19,41 +19,98 @@
 
 /// Parses and validates a rules file. Returns its view, or all errors in the order of the lines.
 pub fn check(text: &str) -> Result<Arc<View>, Vec<RuleError>> {
-    let mut errors = Vec::new();
-    let mut numbered = Vec::new();
+    let mut lines = parse_lines(text);
+    let mut errors = std::mem::take(&mut lines.errors);
+    find_duplicates(&lines.rules, &mut errors);
+    find_missing_references(&lines, &mut errors);
+    find_unmatched_patterns(&lines, &mut errors);
+    errors.sort_by_key(|e| (e.line, e.column));
+    if !errors.is_empty() {
+        return Err(errors);
+    }
+    build(lines.rules).map_err(|error| vec![error])
+}
+
+/// The lines of a rules file, parsed one by one.
+pub(crate) struct Lines<'a> {
+    /// The rules of the lines without errors of form.
+    pub(crate) rules: Vec<NumberedRule<'a>>,
+    /// The lines with an error of form.
+    pub(crate) broken: Vec<&'a str>,
+    /// The errors of form.
+    pub(crate) errors: Vec<RuleError>,
+}
+
+/// Parses each line of a rules file.
+pub(crate) fn parse_lines(text: &str) -> Lines<'_> {
+    let mut lines = Lines {
+        rules: Vec::new(),
+        broken: Vec::new(),
+        errors: Vec::new(),
+    };
     for (number, line) in rules::rule_lines(text) {
         match rules::parse_line(line) {
-            Ok(rule) => numbered.push(NumberedRule { number, line, rule }),
+            Ok(rule) => lines.rules.push(NumberedRule { number, line, rule }),
             Err(mut error) => {
                 error.line = number;
-                errors.push(error);
+                lines.errors.push(error);
+                lines.broken.push(line);
             }
         }
     }
-    find_duplicates(&numbered, &mut errors);
-    // References are not checked after a syntax error, because every reference to the invalid line would
-    // be reported as an error, too.
-    if errors.is_empty() {
-        find_missing_references(&numbered, &mut errors);
-        find_unmatched_patterns(&numbered, &mut errors);
+    lines
+}
+
+impl Lines<'_> {
+    /// Returns the names of the rules on lines with an error of form, whose kinds may be misspelt.
+    fn broken_names(&self) -> impl Iterator<Item = &str> {
+        let names = self
+            .broken
+            .iter()
+            .map(|line| line.split_whitespace().nth(1));
+        names.flatten()
     }
-    errors.sort_by_key(|e| (e.line, e.column));
-    if !errors.is_empty() {
-        return Err(errors);
+
+    /// Returns whether a line with an error of form mentions a name, also by a pattern.
+    pub(crate) fn mentions(&self, name: &str) -> bool {
+        let is_separator = |c: char| c.is_whitespace() || c == '=' || c == ',';
+        let lines = self.broken.iter().map(|line| match line.split_once('#') {
+            Some((rule, _)) => rule,
+            None => line,
+        });
+        lines
+            .flat_map(|line| line.split(is_separator))
+            .any(|word| word != "*" && view::matches_name(word, name))
+    }
+
+    /// Returns whether a line with an error of form may define an endpoint.
+    pub(crate) fn has_broken_endpoint(&self) -> bool {
+        let others = ["workspace", "key", "class", "route", "limit"];
+        let mut kinds = self
+            .broken
+            .iter()
+            .filter_map(|line| line.split_whitespace().next());
+        kinds.any(|kind| rules::closest_name(kind, others.into_iter()).is_none())
+    }
+
+    /// Returns whether a route line with an error of form may admit the workspace.
+    pub(crate) fn broken_route_admits(&self, workspace: &str) -> bool {
+        self.mentions(workspace) || self.broken.iter().any(|line| line.contains("workspace=*"))
     }
-    build(numbered).map_err(|error| vec![error])
 }
 
 /// A rule with its line and line number.
-struct NumberedRule<'a> {
-    number: usize,
+pub(crate) struct NumberedRule<'a> {
+    /// Line number, starting at 1.
+    pub(crate) number: usize,
     line: &'a str,
-    rule: Rule,
+    /// The rule.
+    pub(crate) rule: Rule,
 }
 
 impl NumberedRule<'_> {
     /// Returns an error at the position of `word` in the line.
-    fn error(&self, word: &str, message: String, suggestion: String) -> RuleError {
+    pub(crate) fn error(&self, word: &str, message: String, suggestion: String) -> RuleError {
         let offset = word_offset(self.line, word);
         RuleError {
             line: self.number,
@@ -102,11 +159,15 @@
 }
 
 /// Reports references to rules that do not exist.
-fn find_missing_references(numbered: &[NumberedRule<'_>], errors: &mut Vec<RuleError>) {
+///
+/// A reference to a line with an error of form is no second error.
+fn find_missing_references(lines: &Lines<'_>, errors: &mut Vec<RuleError>) {
+    let numbered = &lines.rules;
     let names: BTreeMap<&RuleKey, ()> = numbered.iter().map(|p| (&p.rule.key, ())).collect();
     for item in numbered {
         for missing in view::references(&item.rule.body) {
-            if names.contains_key(&missing) {
+            let is_broken = || lines.broken_names().any(|name| name == missing.name);
+            if names.contains_key(&missing) || is_broken() {
                 continue;
             }
             let same_kind = names
@@ -124,7 +185,8 @@
 }
 
 /// Reports endpoint patterns of routes that match no endpoint.
-fn find_unmatched_patterns(numbered: &[NumberedRule<'_>], errors: &mut Vec<RuleError>) {
+fn find_unmatched_patterns(lines: &Lines<'_>, errors: &mut Vec<RuleError>) {
+    let numbered = &lines.rules;
     let endpoints: Vec<&str> = numbered
         .iter()
         .filter(|p| matches!(p.rule.body, RuleBody::Endpoint(_)))
@@ -137,6 +199,8 @@
         for pattern in &route.endpoints {
             if endpoints
                 .iter()
+                .copied()
+                .chain(lines.broken_names())
                 .any(|name| view::matches_name(pattern, name))
             {
                 continue;
--- a/lib/src/rules.rs
+++ b/lib/src/rules.rs
@@ -63,7 +63,9 @@
     type Err = ValueError;
 
     fn from_str(text: &str) -> Result<Self, ValueError> {
-        let error = || ValueError::new("64 hexadecimal digits", text);
+        // The text is not repeated, because a key that was written in place of its hash would be shown.
+        let found = format!("{} characters", text.chars().count());
+        let error = || ValueError::new("64 hexadecimal digits", &found);
         if text.len() != 64 || !text.is_ascii() {
             return Err(error());
         }
@@ -685,10 +687,7 @@
 }
 
 /// Returns the name with the smallest edit distance to a misspelt word, if it is close enough.
-pub(crate) fn closest_name<'a>(
-    word: &str,
-    names: impl Iterator<Item = &'a str>,
-) -> Option<&'a str> {
+pub fn closest_name<'a>(word: &str, names: impl Iterator<Item = &'a str>) -> Option<&'a str> {
     names
         .map(|name| (edit_distance(word, name), name))
         .filter(|(distance, name)| *distance <= 2 && *distance < name.chars().count())
