--- a/cli/src/bin/fulmarctl/change.rs
+++ b/cli/src/bin/fulmarctl/change.rs
@@ -38,7 +38,7 @@
     /// Version that the change is based on; the current one by default.
     #[options(no_short, meta = "VERSION")]
     expected: Option<u64>,
-    /// Author of the change.
+    /// Author of the change, who is named in the history (required).
     #[options(no_short, meta = "NAME", required)]
     author: String,
     /// Show the difference without submitting it.
--- a/cli/src/bin/fulmarctl/main.rs
+++ b/cli/src/bin/fulmarctl/main.rs
@@ -29,11 +29,11 @@
 
 #[derive(Debug, Options)]
 enum Command {
-    /// Check a rules file and list all errors.
+    /// Check a rules file or document: errors, entries without effect, differences.
     Check(check::Arguments),
     /// Create a key or hash an existing one.
     Key(key::Arguments),
-    /// Submit a rules file as a change.
+    /// Submit a rules file as a change; needs --author.
     Apply(change::ApplyArguments),
     /// List the newest changes.
     History(change::HistoryArguments),
@@ -60,7 +60,7 @@
         return ExitCode::from(2);
     };
     let result = match command {
-        Command::Check(arguments) => check::run(&arguments),
+        Command::Check(arguments) => Ok(check::run(&arguments)),
         Command::Key(arguments) => key::run(&arguments),
         Command::Apply(arguments) => change::apply(&arguments),
         Command::History(arguments) => change::history(&arguments),
--- a/cli/src/bin/fulmarctl/status.rs
+++ b/cli/src/bin/fulmarctl/status.rs
@@ -23,6 +23,9 @@
     json: bool,
 }
 
+/// Explanation of fields without a value.
+const LEGEND: &str = "\n-  not known to this instance, or not so at present;  (0)  no entries";
+
 /// Prints the status and fails if the view of the instance has expired.
 pub(crate) fn run(arguments: &Arguments) -> eyre::Result<ExitCode> {
     let client = Instance::client(&arguments.address, &arguments.token_file)?;
@@ -57,6 +60,7 @@
             println!("    {line}");
         }
     }
+    println!("{LEGEND}");
 }
 
 fn row(value: &Value) -> String {
@@ -72,6 +76,7 @@
 
 fn text(value: &Value) -> String {
     match value {
+        Value::String(text) if text.is_empty() => "-".to_owned(),
         Value::String(text) => text.clone(),
         Value::Null => "-".to_owned(),
         other => other.to_string(),
