--- a/cli/tests/test_check.rs
+++ b/cli/tests/test_check.rs
@@ -27,11 +27,10 @@
     path.display().to_string()
 }
 
+/// Returns a document with a route that has an objective of 6,000 ms and this timeout.
 fn document(timeout: u32) -> String {
-    json!({"version": 1, "services": [{"name": "s"}], "routes": [{"name": "r", "host": "h",
-        "path_prefix": "/a/", "route_kind": "idempotent", "timeout_ms": timeout, "service": "s",
-        "objective_ms": 6000}]})
-    .to_string()
+    let text = include_str!("../../platform/tests/small_document.json");
+    text.replace("7000", &timeout.to_string())
 }
 
 #[gtest]
