--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod code;
 pub mod cold;
 pub mod command;
+pub mod config_check;
 pub mod control;
 mod control_answer;
 pub mod control_core;
