Look endpoints up once for a choice, and record trials of even load

Cause: a choice in a paced service looked up all endpoints twice.

Change: one list of usable endpoints serves the draw and the ranking. measure_choice prints the time of a choice.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -427,16 +427,16 @@
     /// Draws the endpoints that a request considers, of those that suit its prompt.
     fn draw_sample(
         &self,
-        now: Instant,
         query: &EndpointQuery<'_>,
+        usable: &[&Endpoint],
         is_suitable: impl Fn(&Endpoint) -> bool,
     ) -> Option<Sample> {
         if self.balance(query.service) == Balance::Usual {
             return None;
         }
-        let endpoints = self.service_endpoints(query.service).filter(|e| {
-            e.is_usable(now) && is_suitable(e) && !query.excluded.contains(&e.listed.id)
-        });
+        let is_candidate =
+            |e: &&&Endpoint| is_suitable(e) && !query.excluded.contains(&e.listed.id);
+        let endpoints = usable.iter().filter(is_candidate);
         let weighted = endpoints.map(|e| (e.hash, f64::from(e.listed.slots.max(1)) / e.pace));
         Some(Sample::draw(query.tie_breaker, weighted))
     }
@@ -465,17 +465,16 @@
             is_preferred,
         );
         let yields_permit = self.yields_permit(now, query);
-        let sample = self.draw_sample(now, query, is_preferred);
+        let usable = self.service_endpoints(query.service);
+        let usable: Vec<_> = usable.filter(|e| e.is_usable(now)).collect();
+        let sample = self.draw_sample(query, &usable, is_preferred);
         let is_paced = self.is_paced(query.service);
         let time_left_ms = query.time_left.as_secs_f64() * 1_000.0;
         let mut best: Option<Candidate<'_>> = None;
         let mut fastest: Option<Candidate<'_>> = None;
         // Ranks of the endpoints for which only a permit is missing.
         let mut blocked: Vec<(f64, u64)> = Vec::new();
-        for endpoint in self
-            .service_endpoints(query.service)
-            .filter(|e| e.is_usable(now))
-        {
+        for endpoint in usable {
             if query.excluded.contains(&endpoint.listed.id) {
                 continue;
             }
--- a/lib/tests/test_even_load.rs
+++ b/lib/tests/test_even_load.rs
@@ -91,12 +91,8 @@
     }
 }
 
-/// Replays arrivals; engines state their pace if `is_paced`, which selects the new decision.
-fn replay(speeds: [f64; 3], news_age: u64, is_paced: bool) -> Outcome {
-    let origin = Instant::now();
-    let service = ServiceId::from("llm");
-    let mut rng = StdRng::seed_from_u64(5);
-    let listed = |number: usize| ListedEndpoint {
+fn listed_engine(service: &ServiceId, number: usize) -> ListedEndpoint {
+    ListedEndpoint {
         id: engine_name(number).as_str().into(),
         service: service.clone(),
         address: ([127, 0, 0, 1], 1_000 + number as u16).into(),
@@ -104,7 +100,32 @@
         slots: SLOTS,
         leaving: false,
         reclaimable: false,
-    };
+    }
+}
+
+fn query(service: &ServiceId, tie_breaker: u64, events: Option<f64>) -> EndpointQuery<'_> {
+    EndpointQuery {
+        service,
+        prompt: 100,
+        parts: &[],
+        excluded: &[],
+        time_left: Duration::from_secs(60),
+        total: ServiceLoad::default(),
+        urgency: 2,
+        is_started: false,
+        draw: 0.0,
+        tie_breaker,
+        is_large_cluster: true,
+        events,
+    }
+}
+
+/// Replays arrivals; engines state their pace if `is_paced`, which selects the new decision.
+fn replay(speeds: [f64; 3], news_age: u64, is_paced: bool) -> Outcome {
+    let origin = Instant::now();
+    let service = ServiceId::from("llm");
+    let mut rng = StdRng::seed_from_u64(5);
+    let listed = |number: usize| listed_engine(&service, number);
     let engine = |number: usize| Engine {
         speed: speeds[number % 3],
         slots: (0..SLOTS).map(|_| Reverse(0)).collect(),
@@ -160,20 +181,7 @@
                 let wait = -rng.random_range(f64::EPSILON..1.0).ln() / rate;
                 queue.push(Reverse((time + wait.round() as u64, Event::Arrival)));
                 let instance = rng.random_range(0..INSTANCES);
-                let query = EndpointQuery {
-                    service: &service,
-                    prompt: 100,
-                    parts: &[],
-                    excluded: &[],
-                    time_left: Duration::from_secs(60),
-                    total: ServiceLoad::default(),
-                    urgency: 2,
-                    is_started: false,
-                    draw: 0.0,
-                    tie_breaker: rng.random(),
-                    is_large_cluster: true,
-                    events: None,
-                };
+                let query = query(&service, rng.random(), None);
                 let fleet = &mut fleets[instance];
                 let choice = fleet.choose(now, &query).expect("an engine");
                 let call = fleet.start(now, &choice, &[]);
@@ -284,3 +292,50 @@
         }
     }
 }
+
+/// Measures the time of a choice among 600 endpoints whose pace and load are known; run it with `--release`.
+#[gtest]
+#[ignore = "prints figures and checks nothing"]
+fn measure_choice() {
+    let service = ServiceId::from("llm");
+    for is_paced in [false, true] {
+        let now = Instant::now();
+        let mut fleet = Fleet::new("z".into());
+        let listed = |number: usize| listed_engine(&service, number);
+        fleet.update_list(now, (0..600).map(listed).collect());
+        let mut rng = StdRng::seed_from_u64(7);
+        let mut choose = |fleet: &Fleet| {
+            let query = query(&service, rng.random(), Some(30.0));
+            fleet.choose(now, &query).expect("an engine")
+        };
+        for number in 0..6_000 {
+            let choice = choose(&fleet);
+            let call = fleet.start(now, &choice, &[]);
+            let info = ResponseInfo {
+                load: Some(ReportedLoad {
+                    running: number % 16,
+                    waiting: 0,
+                    slots: SLOTS,
+                }),
+                pace: is_paced.then_some(100 + number % 3),
+                ..ResponseInfo::default()
+            };
+            fleet.record_response(now, call, &info, true);
+            let sample = PaceSum {
+                events: 30,
+                time_ms: 500 + number % 500,
+            };
+            fleet.record_stream(now, call, sample);
+            if number % 100 > 0 {
+                fleet.end(now, call, CallOutcome::Served);
+            }
+        }
+        let news = Arc::new(fleet.report_load(now));
+        fleet.apply_cluster_load(now, &news);
+        let start = Instant::now();
+        for _ in 0..20_000 {
+            std::hint::black_box(choose(&fleet));
+        }
+        println!("paced: {is_paced}, {:?} a choice", start.elapsed() / 20_000);
+    }
+}
