Revert the pace of engines and even load

They place long responses on quick engines and draw two candidates for each request. So callers under load are served worse.

--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -61,20 +61,10 @@
     pub prompt: u32,
     /// Maximum number of output tokens.
     pub output: u32,
-    /// The caller's estimate of the number of output tokens.
-    pub length_hint: Option<u32>,
     /// The parts of the prompt in order.
     pub parts: Vec<PromptPart>,
 }
 
-impl RequestInfo {
-    /// Returns the number of output tokens that the caller expects: its estimate, and the maximum without one.
-    pub fn expected_output(&self) -> u32 {
-        self.length_hint
-            .map_or(self.output, |hint| hint.min(self.output))
-    }
-}
-
 /// The properties that the system adds to a request when it forwards it to an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct ForwardContext<'a> {
@@ -200,8 +190,6 @@
     pub pause: Option<Duration>,
     /// The rate of requests that the endpoint accepts from all instances.
     pub limit: StatedLimit,
-    /// Time that work takes at the endpoint at this moment, in percent of its usual time.
-    pub pace: Option<u32>,
 }
 
 /// An endpoint on the platform's list.
--- a/lib/src/event_framer.rs
+++ b/lib/src/event_framer.rs
@@ -39,8 +39,8 @@
     has_field: bool,
     /// Whether the last byte was a CR, to which an LF belongs.
     after_cr: bool,
-    /// Number of events other than comments that have ended.
-    events: u32,
+    /// Whether an event other than a comment has ended.
+    has_event: bool,
 }
 
 impl EventScanner {
@@ -104,7 +104,7 @@
             self.has_field |= !self.in_comment;
             return false;
         }
-        self.events = self.events.saturating_add(u32::from(self.has_field));
+        self.has_event |= self.has_field;
         (self.has_line, self.has_field) = (false, false);
         true
     }
@@ -226,12 +226,7 @@
 
     /// Returns whether the current endpoint has sent a whole event.
     pub fn has_event(&self) -> bool {
-        self.scanner.events > 0
-    }
-
-    /// Returns the number of whole events that the current endpoint has sent.
-    pub fn events(&self) -> u32 {
-        self.scanner.events
+        self.scanner.has_event
     }
 }
 
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -38,9 +38,6 @@
 use std::time::Instant;
 
 use crate::affinity;
-use crate::balance;
-use crate::balance::Balance;
-use crate::balance::Sample;
 use crate::dialect::ListedEndpoint;
 use crate::dialect::PromptPart;
 use crate::dialect::RequestRate;
@@ -52,15 +49,8 @@
 use crate::fleet_endpoint::Endpoint;
 use crate::fleet_endpoint::LocalCall;
 use crate::ids::EndpointId;
-use crate::ids::RouteId;
 use crate::ids::ServiceId;
 use crate::ids::ZoneId;
-use crate::pace::PaceKey;
-use crate::pace::PaceStats;
-use crate::pace::PaceSum;
-use crate::pace::PaceTable;
-use crate::pace::ResponseLengths;
-use crate::pace::StatedPace;
 use crate::prefix_hint::MIN_HINT_TOKENS;
 use crate::prefix_hint::PrefixHint;
 use crate::prompt_source::PromptHolders;
@@ -127,17 +117,6 @@
 /// them.
 const LONG_PROMPT_UTILIZATION: f64 = 0.35;
 
-/// Weight of a stream's duration against the time to its first byte: a shorter one has shorter pauses, and
-/// leaves its slot to others sooner.
-const STREAM_TIME_WEIGHT: f64 = 0.1;
-
-/// Penalty of an engine at which the response is expected to end after the deadline; no other difference
-/// between sound engines is as large.
-const LATE_END_PENALTY_MS: f64 = 5_000.0;
-
-/// Share of a stream's expected duration that it takes at least.
-const LEAST_STREAM_SHARE: f64 = 0.5;
-
 /// Fraction of an engine's memory that is assumed to hold cached prompts.
 const CACHE_FRACTION: f64 = 0.5;
 
@@ -189,8 +168,6 @@
     pub tie_breaker: u64,
     /// Whether the cluster is large ([`is_large_cluster`]).
     pub is_large_cluster: bool,
-    /// Expected number of events of the response, if it is a stream of known length.
-    pub events: Option<f64>,
 }
 
 /// The endpoint that was chosen for a request.
@@ -210,25 +187,12 @@
     pub source: Option<SocketAddr>,
     /// The expected time to the first byte.
     pub expected: Duration,
-    /// How the endpoint's pace affects the request, if its service states one.
-    pub pace: Option<ExpectedPace>,
     /// Age of the endpoint list at the time of the choice.
     pub list_age: Duration,
     /// Hash of a better endpoint whose limit did not allow the request; one of them if there are several.
     pub passed_over: Option<u64>,
 }
 
-/// How the pace of the chosen endpoint affects a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ExpectedPace {
-    /// Factor on the usual time of work.
-    pub factor: f64,
-    /// The expected time to the last byte, if the length of the response and the pace are known.
-    pub end: Option<Duration>,
-    /// Whether the request is expected to end before its deadline, if that is known.
-    pub is_in_time: Option<bool>,
-}
-
 /// The reason why no endpoint was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SelectionError {
@@ -283,10 +247,6 @@
     last_report: EngineBacklogs,
     /// The latest total over all instances.
     last_cluster_load: Option<Arc<LoadSummary>>,
-    pace: PaceTable,
-    lengths: ResponseLengths,
-    /// Services whose endpoints are ranked by utilization although they state no pace.
-    even_services: HashSet<ServiceId>,
     /// Whether any endpoint has a limit.
     has_limits: bool,
     /// Evacuated zones, and those whose evacuation ended.
@@ -326,9 +286,6 @@
             prefix_hints: Vec::new(),
             last_report: EngineBacklogs::new(),
             last_cluster_load: None,
-            pace: PaceTable::default(),
-            lengths: ResponseLengths::default(),
-            even_services: HashSet::new(),
             has_limits: false,
             zones: ZoneStates::default(),
             last_call_id: 0,
@@ -365,9 +322,7 @@
                 _ => {
                     changes.push(ListChange::new(&listed));
                     let id = listed.id.clone();
-                    let endpoint = Endpoint::new(now, listed);
-                    self.pace.forget(endpoint.hash.into());
-                    self.endpoints.insert(id, endpoint);
+                    self.endpoints.insert(id, Endpoint::new(now, listed));
                 }
             }
         }
@@ -375,7 +330,6 @@
         self.endpoints.retain(|id, endpoint| {
             let is_listed = known.contains(id);
             if !is_listed {
-                self.pace.forget(endpoint.hash.into());
                 changes.push(ListChange {
                     endpoint: id.clone(),
                     service: endpoint.listed.service.clone(),
@@ -435,49 +389,7 @@
         ids.filter_map(|id| self.endpoints.get(id))
     }
 
-    /// Returns whether an endpoint of the service has stated its pace to any instance, so that the pace of
-    /// each is learned and counts.
-    pub fn is_paced(&self, service: &ServiceId) -> bool {
-        self.pace.is_paced(service)
-    }
-
-    /// Returns how the endpoints of the service are ranked.
-    pub fn balance(&self, service: &ServiceId) -> Balance {
-        match self.is_paced(service) || self.even_services.contains(service) {
-            true => Balance::Even,
-            false => Balance::Usual,
-        }
-    }
-
-    /// Sets how the endpoints of a service are ranked that state no pace.
-    pub fn set_balance(&mut self, service: &ServiceId, balance: Balance) {
-        match balance {
-            Balance::Even => self.even_services.insert(service.clone()),
-            Balance::Usual => self.even_services.remove(service),
-        };
-    }
-
-    /// Draws the endpoints that a request considers, of those that suit its prompt.
-    fn draw_sample(
-        &self,
-        query: &EndpointQuery<'_>,
-        usable: &[&Endpoint],
-        is_suitable: impl Fn(&Endpoint) -> bool,
-    ) -> Option<Sample> {
-        if self.balance(query.service) == Balance::Usual {
-            return None;
-        }
-        let is_candidate =
-            |e: &&&Endpoint| is_suitable(e) && !query.excluded.contains(&e.listed.id);
-        let endpoints = usable.iter().filter(is_candidate);
-        let weighted = endpoints.map(|e| (e.hash, f64::from(e.listed.slots.max(1)) / e.pace));
-        Some(Sample::draw(query.tie_breaker, weighted))
-    }
-
     /// Chooses the endpoint with the shortest expected time to the first byte.
-    ///
-    /// If the service is paced, an endpoint at which the response is expected to end in its caller's time
-    /// comes before all others.
     pub fn choose(
         &self,
         now: Instant,
@@ -498,16 +410,14 @@
             is_preferred,
         );
         let yields_permit = self.yields_permit(now, query);
-        let usable = self.service_endpoints(query.service);
-        let usable: Vec<_> = usable.filter(|e| e.is_usable(now)).collect();
-        let sample = self.draw_sample(query, &usable, is_preferred);
-        let is_paced = self.is_paced(query.service);
-        let time_left_ms = query.time_left.as_secs_f64() * 1_000.0;
         let mut best: Option<Candidate<'_>> = None;
         let mut fastest: Option<Candidate<'_>> = None;
         // Ranks of the endpoints for which only a permit is missing.
         let mut blocked: Vec<(f64, u64)> = Vec::new();
-        for endpoint in usable {
+        for endpoint in self
+            .service_endpoints(query.service)
+            .filter(|e| e.is_usable(now))
+        {
             if query.excluded.contains(&endpoint.listed.id) {
                 continue;
             }
@@ -521,11 +431,6 @@
             let copied = source.map_or(0, |source| source.tokens.saturating_sub(cached));
             let prefill_tokens = query.prompt.saturating_sub(cached + copied);
             let own = u64::from(prefill_tokens);
-            let factor = match is_paced {
-                true => endpoint.work_factor(now),
-                false => 1.0,
-            };
-            let rate = rate / factor;
             let before = endpoint.prefill_tokens_before(query.urgency);
             let mut delay = endpoint.expected_delay(now, before + own, rate, &self.zone);
             // Less urgent prompts do not delay the request, but the request delays them.
@@ -546,26 +451,7 @@
                 };
             }
             let mut rank = score + endpoint.close_penalty(now);
-            let mut end = None;
-            if is_paced
-                && let (Some(events), Some((ms, certain))) = (query.events, endpoint.event_time)
-            {
-                let stream = events * ms;
-                rank += stream * STREAM_TIME_WEIGHT;
-                if delay + stream > time_left_ms {
-                    rank += LATE_END_PENALTY_MS + delay + stream - time_left_ms;
-                }
-                end = Some(ExpectedEnd { stream, certain });
-            }
-            if let Some(sample) = &sample {
-                rank += endpoint.even_load_penalty(now, rate);
-                let draw =
-                    affinity::mix(query.tie_breaker, !endpoint.hash) as f64 / u64::MAX as f64;
-                rank += draw * MAX_JITTER_MS;
-                if !sample.contains(endpoint.hash) && holders.home != Some(endpoint.hash) {
-                    rank += balance::UNSAMPLED_PENALTY_MS;
-                }
-            } else if query.is_large_cluster {
+            if query.is_large_cluster {
                 let draw = affinity::mix(query.tie_breaker, endpoint.hash) as f64 / u64::MAX as f64;
                 rank += draw * MAX_JITTER_MS + endpoint.remote_load_penalty(now, rate);
             }
@@ -584,8 +470,6 @@
                 rank,
                 score,
                 delay,
-                factor,
-                end,
                 endpoint,
                 prefill_tokens,
                 source: source.map(|source| source.address),
@@ -593,7 +477,7 @@
             if best.is_none_or(|best| rank < best.rank) {
                 best = Some(candidate);
             }
-            if fastest.is_none_or(|fastest| candidate.least_time() < fastest.least_time()) {
+            if fastest.is_none_or(|fastest| delay < fastest.delay) {
                 fastest = Some(candidate);
             }
         }
@@ -608,7 +492,7 @@
             return Err(self.selection_error(now, query, passed_over));
         };
         let is_late = |candidate: &Candidate<'_>| {
-            expected_time(candidate.least_time()) > query.time_left
+            expected_time(candidate.delay) > query.time_left
                 && !candidate.endpoint.is_uncertain(now)
         };
         // A preference among endpoints makes no request late.
@@ -631,7 +515,6 @@
             urgency: query.urgency,
             source: best.source,
             expected: expected_time(best.score),
-            pace: is_paced.then(|| best.expected_pace(query.time_left)),
             list_age: self
                 .list_time
                 .map_or(Duration::ZERO, |at| now.saturating_duration_since(at)),
@@ -804,7 +687,6 @@
 
     /// Returns the load of this instance to report to the others, and remembers it as reported.
     pub fn report_load(&mut self, now: Instant) -> LoadSummary {
-        let pace = self.pace.report(now);
         let busy = self
             .endpoints
             .values()
@@ -813,7 +695,6 @@
         LoadSummary {
             by_service: self.service_loads(now),
             engines: self.last_report.clone(),
-            pace,
         }
     }
 
@@ -837,71 +718,6 @@
             };
             endpoint.remote_load = Some((others, now));
         }
-        if !total.pace.services.is_empty() {
-            self.apply_pace(total);
-        }
-    }
-
-    /// Applies the pace of the engines, as seen by all instances.
-    fn apply_pace(&mut self, total: &LoadSummary) {
-        let services = total.pace.services.iter().map(|service| {
-            let engines = self.service_endpoints(service).map(|e| e.hash.into());
-            (service.clone(), engines.collect())
-        });
-        let services: Vec<(ServiceId, Vec<PaceKey>)> = services.collect();
-        self.pace.apply(&total.pace, &services);
-        for endpoint in self.endpoints.values_mut() {
-            let key = PaceKey::from(endpoint.hash);
-            endpoint.pace = self.pace.factor(key);
-            endpoint.event_time = self.pace.event_time(key);
-        }
-    }
-
-    /// Records the events of a stream and the time between them.
-    pub fn record_stream(&mut self, now: Instant, call_id: CallId, sample: PaceSum) {
-        let endpoint = self.call_endpoints.get(&call_id);
-        if let Some(endpoint) = endpoint.and_then(|id| self.endpoints.get(id))
-            && self.pace.is_paced(&endpoint.listed.service)
-        {
-            self.pace.record(now, endpoint.hash.into(), sample);
-        }
-    }
-
-    /// Records the number of events of a complete response to a request for this many tokens.
-    pub fn record_length(&mut self, route: &RouteId, stated: u32, events: u32) {
-        self.lengths.record(route, stated, events);
-    }
-
-    /// Returns the expected number of events of a response, if the lengths of the route's responses are known.
-    pub fn expected_events(&self, route: &RouteId, stated: u32) -> Option<f64> {
-        self.lengths.expected_events(route, stated)
-    }
-
-    /// Returns the spread of pace and load over the engines of a paced service.
-    pub fn pace_stats(&self, now: Instant, service: &ServiceId) -> Option<PaceStats> {
-        if !self.is_paced(service) {
-            return None;
-        }
-        let mut stats = PaceStats {
-            quickest: f64::INFINITY,
-            slowest: 0.0,
-            busiest: 0.0,
-        };
-        let (mut sum, mut count) = (0.0, 0.0);
-        for endpoint in self.service_endpoints(service).filter(|e| e.is_usable(now)) {
-            let slots = f64::from(endpoint.listed.slots);
-            let load = balance::utilization(endpoint.known_requests(now), slots, endpoint.pace);
-            stats.quickest = stats.quickest.min(endpoint.pace);
-            stats.slowest = stats.slowest.max(endpoint.pace);
-            stats.busiest = stats.busiest.max(load);
-            sum += load;
-            count += 1.0;
-        }
-        if sum <= 0.0 {
-            return None;
-        }
-        stats.busiest *= count / sum;
-        Some(stats)
     }
 
     /// Records the start of a call.
@@ -978,15 +794,6 @@
             return;
         };
         endpoint.record_availability(now, info.leaving, info.pause);
-        if let Some(percent) = info.pace {
-            endpoint.stated_pace = Some(StatedPace::new(now, percent));
-            self.pace.record_stated(&endpoint.listed.service);
-        }
-        // A rate for all engines is learned only from those of which it is known how they differ from it.
-        let factor = match self.pace.is_paced(&endpoint.listed.service) {
-            true => endpoint.certain_factor(now),
-            false => Some(1.0),
-        };
         if let Some(load) = info.load {
             endpoint.load = Some((load, now, endpoint.local_calls.len()));
         }
@@ -999,15 +806,11 @@
             return;
         };
         let is_first = !std::mem::replace(&mut call.responded, true);
-        if let Some(factor) = factor
-            && executed
-            && is_first
-            && is_only_pending
-            && call.uncached_tokens >= MIN_RATE_SAMPLE_TOKENS
+        if executed && is_first && is_only_pending && call.uncached_tokens >= MIN_RATE_SAMPLE_TOKENS
         {
             let elapsed_ms = now.saturating_duration_since(call.started_at).as_secs_f64() * 1_000.0;
             // The engine prefilled at least the tokens that no other request shares.
-            let observed = f64::from(call.uncached_tokens) / elapsed_ms.max(1.0) * factor;
+            let observed = f64::from(call.uncached_tokens) / elapsed_ms.max(1.0);
             let observed = observed.clamp(*PREFILL_RATE_BOUNDS.start(), *PREFILL_RATE_BOUNDS.end());
             let service = endpoint.listed.service.clone();
             let rate = self
@@ -1071,42 +874,11 @@
     /// Expected time to the first byte in milliseconds. Only this may lead to a refusal, since a preference
     /// among endpoints does not make any of them late.
     delay: f64,
-    /// Factor on the usual time of work.
-    factor: f64,
-    /// How long the stream of the response is expected to last.
-    end: Option<ExpectedEnd>,
     endpoint: &'a Endpoint,
     prefill_tokens: u32,
     source: Option<SocketAddr>,
 }
 
-/// Expected duration of a response's stream at an endpoint.
-#[derive(Clone, Copy)]
-struct ExpectedEnd {
-    /// Milliseconds from the first to the last byte.
-    stream: f64,
-    /// Whether enough streams of the endpoint were seen to refuse a request by it.
-    certain: bool,
-}
-
-impl Candidate<'_> {
-    /// Returns the milliseconds that the response takes at least; as lengths vary, a stream may well take half of
-    /// the expected time.
-    fn least_time(&self) -> f64 {
-        let stream = self.end.filter(|end| end.certain);
-        self.delay + stream.map_or(0.0, |end| end.stream * LEAST_STREAM_SHARE)
-    }
-
-    fn expected_pace(&self, time_left: Duration) -> ExpectedPace {
-        let end = self.end.map(|end| expected_time(self.delay + end.stream));
-        ExpectedPace {
-            factor: self.factor,
-            end,
-            is_in_time: end.map(|end| end <= time_left),
-        }
-    }
-}
-
 /// Returns a time of this many milliseconds, which a specification of the engines may put out of range.
 fn expected_time(ms: f64) -> Duration {
     let time = Duration::try_from_secs_f64(ms / 1_000.0);
--- a/lib/src/fleet_endpoint.rs
+++ b/lib/src/fleet_endpoint.rs
@@ -5,13 +5,11 @@
 use std::time::Instant;
 
 use crate::affinity;
-use crate::balance;
 use crate::dialect::ListedEndpoint;
 use crate::dialect::ReportedLoad;
 use crate::endpoint_limit::Admission;
 use crate::fleet::CallId;
 use crate::ids::ZoneId;
-use crate::pace::StatedPace;
 use crate::prompt_cache::PromptCache;
 use crate::service_load::EngineBacklog;
 
@@ -159,12 +157,6 @@
     /// Whether the limit that the endpoint states allows a request of this instance.
     pub admission: Admission,
     pub cache: PromptCache,
-    /// Factor on the usual time of work, learned from streams.
-    pub pace: f64,
-    /// The pace that the endpoint stated last.
-    pub stated_pace: Option<StatedPace>,
-    /// Expected milliseconds between two events of a stream, and whether they are certain.
-    pub event_time: Option<(f64, bool)>,
 }
 
 impl Endpoint {
@@ -184,9 +176,6 @@
             paused_until: None,
             admission: Admission::Unlimited,
             cache: PromptCache::default(),
-            pace: 1.0,
-            stated_pace: None,
-            event_time: None,
         }
     }
 
@@ -357,46 +346,6 @@
         prefill_ms + self.load_delay(now, all) - self.load_delay(now, 0.0)
     }
 
-    /// Returns the factor on the time of work that begins now.
-    pub(crate) fn work_factor(&self, now: Instant) -> f64 {
-        let stated = self.stated_pace.map_or(1.0, |stated| stated.factor(now));
-        self.pace * stated
-    }
-
-    /// Returns the factor on the time of work if it is certain.
-    pub(crate) fn certain_factor(&self, now: Instant) -> Option<f64> {
-        let is_certain = self.event_time.is_some_and(|(_, is_certain)| is_certain);
-        is_certain.then(|| self.work_factor(now))
-    }
-
-    /// Returns the estimated number of requests of all instances at the endpoint.
-    pub(crate) fn known_requests(&self, now: Instant) -> f64 {
-        let (running, waiting) = self.occupancy(now, 0.0);
-        let local = running + waiting;
-        let recent = self
-            .remote_load
-            .filter(|(_, at)| now.saturating_duration_since(*at) < MAX_LOAD_AGE);
-        let Some((remote, at)) = recent else {
-            return local;
-        };
-        let all = self.local_calls.len() as f64 + f64::from(remote.calls);
-        balance::estimated_requests(local, all, now.saturating_duration_since(at))
-    }
-
-    /// Returns the delay, in milliseconds, that what all instances have sent causes beyond what
-    /// [`Self::expected_delay`] includes, for endpoints that are ranked by their utilization.
-    ///
-    /// As the load of others is a little old, it orders endpoints and is not part of the expected time.
-    pub(crate) fn even_load_penalty(&self, now: Instant, rate: f64) -> f64 {
-        let requests = self.known_requests(now);
-        let all = balance::load_delay_ms(requests, self.listed.slots, self.pace);
-        let read = self.remote_load.map_or(0.0, |(remote, at)| {
-            let age = now.saturating_duration_since(at);
-            balance::remaining_tokens(f64::from(remote.prefill_tokens), age, rate)
-        });
-        all - self.load_delay(now, 0.0) + read / rate
-    }
-
     /// Returns the delay, in milliseconds, caused by running and queued requests; `min_requests` is
     /// a lower bound on their number.
     fn load_delay(&self, now: Instant, min_requests: f64) -> f64 {
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -292,7 +292,6 @@
             draw: rand::rng().random_range(0.0..1.0),
             tie_breaker: rand::rng().random(),
             is_large_cluster: fleet::is_large_cluster(control.instance_count()),
-            events: fleet.expected_events(&self.route.id, self.info.expected_output()),
         };
         let choice = match self.forwarder.select_endpoint(&mut fleet, now, &query) {
             Err(
@@ -324,13 +323,6 @@
                 return Err((reason, retry));
             }
         };
-        if let Some(pace) = &choice.pace {
-            let metrics = self.forwarder.settings.metrics.pace();
-            metrics.placed(&self.service, pace.is_in_time);
-            if let Some(stats) = fleet.pace_stats(now, &self.service) {
-                metrics.set(&self.service, &stats);
-            }
-        }
         let call_id = fleet.start(now, &choice, &self.info.parts);
         control.set_work(fleet.report_load(now));
         control.share_sightings(fleet.take_prefix_hints());
@@ -482,8 +474,6 @@
             waited_ms = self.now().saturating_duration_since(self.arrived).as_millis() as u64,
             list_age_ms = guard.choice.list_age.as_millis() as u64,
             limit = guard.stated_limit.map(RequestRate::per_second),
-            pace = guard.choice.pace.map(|pace| pace.factor),
-            expected_end_ms = guard.choice.pace.and_then(|pace| pace.end).map(|end| end.as_millis() as u64),
             outcome = outcome.map_or("started", CallOutcome::name),
             "attempt"
         );
--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -34,7 +34,6 @@
 use crate::hand_over::COPY_TIMEOUT;
 use crate::hand_over::MoveOutcome;
 use crate::hand_over::RunCopier;
-use crate::pace::StreamTimer;
 use crate::retry::RetryChance;
 use crate::route_table::RetryPolicy;
 use crate::service_load::ServiceLoad;
@@ -97,11 +96,9 @@
     pub(crate) async fn relay(mut self, mut started: StartedResponse, sender: BodySender) {
         let mut framer = EventFramer::default();
         let reason = loop {
-            let mut timer = StreamTimer::new(self.now());
             let outcome = self
-                .relay_response(&mut started, &sender, &mut framer, &mut timer)
+                .relay_response(&mut started, &sender, &mut framer)
                 .await;
-            self.record_pace(&started.guard, &outcome, &timer, framer.is_restarted());
             started.guard.end(match outcome {
                 RelayEnd::Complete => CallOutcome::Served,
                 RelayEnd::Broken | RelayEnd::Silent(_) => CallOutcome::Broken,
@@ -195,36 +192,12 @@
         head.is_complete(answer.delimiter, framer) && (may_be_partial || !framer.is_partial())
     }
 
-    /// Records the pace that a stream has shown, and its length if one endpoint sent all of it.
-    ///
-    /// Streams that the deadline cut off count too, as they are those of the slowest engines.
-    fn record_pace(
-        &self,
-        guard: &CallGuard,
-        end: &RelayEnd,
-        timer: &StreamTimer,
-        is_restarted: bool,
-    ) {
-        let mut fleet = self.forwarder.fleet();
-        if self.stream.is_none() || !fleet.is_paced(&self.service) {
-            return;
-        }
-        if matches!(end, RelayEnd::Complete | RelayEnd::DeadlinePassed) {
-            fleet.record_stream(self.now(), guard.call_id, timer.sample());
-        }
-        if matches!(end, RelayEnd::Complete) && !is_restarted {
-            let expected = self.info.expected_output();
-            fleet.record_length(&self.route.id, expected, timer.events());
-        }
-    }
-
     /// Relays the response of one endpoint until it ends, is interrupted or is moved.
     async fn relay_response(
         &mut self,
         started: &mut StartedResponse,
         sender: &BodySender,
         framer: &mut EventFramer,
-        timer: &mut StreamTimer,
     ) -> RelayEnd {
         let is_resumable = self.is_resumable();
         let is_movable = self.is_movable();
@@ -259,13 +232,10 @@
                         bytes
                     }
                 };
-                let arrived = self.now();
-                timer.arrive(arrived, framer.events());
                 if !bytes.is_empty() {
                     if let Err(end) = self.send_to_caller(bytes, sender).await {
                         return end;
                     }
-                    timer.hold(self.now().saturating_duration_since(arrived));
                     silence.restart(Instant::now());
                 }
             }
@@ -401,7 +371,6 @@
             draw: 0.0,
             tie_breaker: rand::rng().random(),
             is_large_cluster: fleet::is_large_cluster(forwarder.settings.control.instance_count()),
-            events: None,
         };
         let guard = {
             let mut fleet = forwarder.fleet();
--- a/lib/src/forward_stall.rs
+++ b/lib/src/forward_stall.rs
@@ -159,7 +159,6 @@
             draw: 0.0,
             tie_breaker: rand::rng().random(),
             is_large_cluster: fleet::is_large_cluster(control.instance_count()),
-            events: None,
         };
         let mut fleet = self.forwarder.fleet();
         let choice = self.forwarder.select_endpoint(&mut fleet, now, &query);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod arrivals;
 pub mod at_most_once;
 mod attempt;
-pub mod balance;
 pub mod balancer;
 mod call_thread;
 pub mod chart;
@@ -90,7 +89,6 @@
 pub mod operator_client;
 pub mod order;
 pub mod orders;
-pub mod pace;
 pub mod part_records;
 pub mod peer;
 #[allow(
--- a/lib/src/service_load.rs
+++ b/lib/src/service_load.rs
@@ -14,7 +14,6 @@
 
 use crate::ids::InstanceId;
 use crate::ids::ServiceId;
-use crate::pace::PaceReport;
 
 /// Prompt tokens from which a request counts as long. Engines commonly prefill in chunks of 4,096
 /// tokens, and each chunk delays the output tokens of all other requests on the engine.
@@ -109,8 +108,6 @@
     pub by_service: LoadByService,
     /// Backlogs of engines; only the busiest if there are too many for a report.
     pub engines: EngineBacklogs,
-    /// Pace of engines, of services whose endpoints state one.
-    pub pace: PaceReport,
 }
 
 impl LoadSummary {
@@ -126,11 +123,9 @@
             sum.calls = sum.calls.saturating_add(backlog.calls);
             sum.prefill_tokens = sum.prefill_tokens.saturating_add(backlog.prefill_tokens);
         }
-        self.pace.add(&other.pace);
     }
 
     fn truncate(&mut self) {
-        self.pace.truncate();
         if self.engines.len() > MAX_ENGINES_PER_REPORT {
             let mut busiest: Vec<_> = std::mem::take(&mut self.engines).into_iter().collect();
             busiest.sort_unstable_by_key(|(_, backlog)| {
--- a/lib/src/traffic_metrics.rs
+++ b/lib/src/traffic_metrics.rs
@@ -15,7 +15,6 @@
 use crate::code::ResultCode;
 use crate::hand_over::MoveOutcome;
 use crate::ids::ServiceId;
-use crate::pace::PaceMetrics;
 
 /// Upper bounds of the latency buckets in seconds, three for each power of ten.
 const LATENCY_BUCKETS: [f64; 11] = [0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0];
@@ -37,7 +36,6 @@
     evacuated: IntGauge,
     total: HistogramVec,
     first: HistogramVec,
-    pace: PaceMetrics,
 }
 
 impl TrafficMetrics {
@@ -47,10 +45,8 @@
             let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
             HistogramVec::new(options, &["service"])
         };
-        let registry = Registry::new();
         let metrics = Self {
-            pace: PaceMetrics::new(&registry)?,
-            registry,
+            registry: Registry::new(),
             served: IntCounterVec::new(
                 Opts::new("fulmarford_answers", "Answers of endpoints passed on"),
                 &["service", "status"],
@@ -189,11 +185,6 @@
         passed_over.with_label_values(&[service.as_str()]).inc();
     }
 
-    /// Returns the metrics of services whose endpoints state a pace.
-    pub fn pace(&self) -> &PaceMetrics {
-        &self.pace
-    }
-
     /// Counts a run whose engine shut down, by what became of the run.
     pub fn moved(&self, outcome: MoveOutcome) {
         let outcome = outcome.to_string();
--- a/lib/tests/test_decisions.rs
+++ b/lib/tests/test_decisions.rs
@@ -7,10 +7,10 @@
 use googletest::prelude::*;
 
 /// Folders of `lib/src` that hold decisions.
-const FOLDERS: &[&str] = &["balance", "cold", "evacuation", "pace"];
+const FOLDERS: &[&str] = &["cold", "evacuation"];
 
 /// Files in these folders that carry decisions out: they take the clock and the shared state of the process.
-const SHELLS: &[&str] = &["cold/watch.rs", "pace/metrics.rs"];
+const SHELLS: &[&str] = &["cold/watch.rs"];
 
 /// Names that stand for a clock, a source of randomness, a lock, a file, a thread or a connection.
 const EFFECTS: &[&str] = &[
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -108,7 +108,6 @@
             draw: 0.0,
             tie_breaker: 0,
             is_large_cluster: self.is_large_cluster,
-            events: None,
         }
     }
 
@@ -1066,7 +1065,6 @@
             parts: &parts,
             time_left: Duration::MAX,
             is_large_cluster: true,
-            events: None,
             excluded: &[],
             total: fixture.total,
             urgency: 2,
--- a/lib/tests/test_odd_messages.rs
+++ b/lib/tests/test_odd_messages.rs
@@ -199,7 +199,6 @@
             let report = LoadSummary {
                 by_service: [("llm".into(), load)].into(),
                 engines: engines.collect(),
-                ..LoadSummary::default()
             };
             if let Some(report) = travel(&report) {
                 sum.set(now, &format!("i-{number}").as_str().into(), report);
@@ -222,7 +221,6 @@
                 draw,
                 tie_breaker: 7,
                 is_large_cluster,
-                events: None,
             };
             if let Ok(choice) = fleet.choose(now, &query) {
                 fleet.start(now, &choice, &parts);
--- a/lib/tests/test_service_load.rs
+++ b/lib/tests/test_service_load.rs
@@ -21,7 +21,6 @@
     LoadSummary {
         by_service: [("llm".into(), load)].into(),
         engines: EngineBacklogs::new(),
-        ..LoadSummary::default()
     }
 }
 
