Let the more urgent group have the engines that it needs first

While a zone is taken back in a burst of long prompts, the engines that remain were divided between long and short prompts in proportion, so that urgent short requests paid for long ones. Where the settings say that callers compete for too few engines (contracts with pressure), the more urgent group now gets what it needs, and the other one keeps to the rest.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -42,6 +42,9 @@
 use crate::dialect::PromptPart;
 use crate::dialect::RequestRate;
 use crate::dialect::ResponseInfo;
+use crate::division;
+use crate::division::Group;
+use crate::division::Needs;
 use crate::endpoint_limit::Admission;
 use crate::endpoint_limit::LimitTable;
 use crate::evacuation::ZoneChange;
@@ -187,6 +190,8 @@
     pub source: Option<SocketAddr>,
     /// The expected time to the first byte.
     pub expected: Duration,
+    /// Whether the request had to leave engines to a more urgent group ([`crate::division`]).
+    pub is_confined: bool,
     /// Age of the endpoint list at the time of the choice.
     pub list_age: Duration,
     /// Hash of a better endpoint whose limit did not allow the request; one of them if there are several.
@@ -247,6 +252,8 @@
     last_report: EngineBacklogs,
     /// The latest total over all instances.
     last_cluster_load: Option<Arc<LoadSummary>>,
+    /// Whether the more urgent group of requests gets the engines that it needs before the other one.
+    urgent_first: bool,
     /// Whether any endpoint has a limit.
     has_limits: bool,
     /// Evacuated zones, and those whose evacuation ended.
@@ -259,6 +266,9 @@
 struct Demand {
     long: Rate,
     short: Rate,
+    /// The same rates, each token multiplied by the urgency of its request.
+    long_urgency: Rate,
+    short_urgency: Rate,
 }
 
 impl Demand {
@@ -266,6 +276,24 @@
         Self {
             long: Rate::new(now),
             short: Rate::new(now),
+            long_urgency: Rate::new(now),
+            short_urgency: Rate::new(now),
+        }
+    }
+
+    /// Returns the group whose requests are more urgent on average, if there are requests of both.
+    fn urgent_group(&self, now: Instant) -> Option<Group> {
+        let mean = |urgency: &Rate, tokens: &Rate| {
+            let tokens = tokens.get(now);
+            (tokens > 0.0).then(|| urgency.get(now) / tokens)
+        };
+        let long = mean(&self.long_urgency, &self.long)?;
+        let short = mean(&self.short_urgency, &self.short)?;
+        // 0 is the most urgent.
+        match () {
+            () if long < short => Some(Group::Long),
+            () if short < long => Some(Group::Short),
+            () => None,
         }
     }
 }
@@ -286,6 +314,7 @@
             prefix_hints: Vec::new(),
             last_report: EngineBacklogs::new(),
             last_cluster_load: None,
+            urgent_first: false,
             has_limits: false,
             zones: ZoneStates::default(),
             last_call_id: 0,
@@ -389,6 +418,12 @@
         ids.filter_map(|id| self.endpoints.get(id))
     }
 
+    /// Lets the more urgent of long and short prompts have the engines that they need first, while there are
+    /// too few for both ([`crate::division`]).
+    pub fn set_urgent_first(&mut self) {
+        self.urgent_first = true;
+    }
+
     /// Chooses the endpoint with the shortest expected time to the first byte.
     pub fn choose(
         &self,
@@ -396,8 +431,13 @@
         query: &EndpointQuery<'_>,
     ) -> Result<Choice, SelectionError> {
         let rate = self.prefill_rate(query.service);
-        let long_prompt_endpoints = self.long_prompt_endpoints(now, query, rate);
+        let (long_prompt_endpoints, confined) = self.long_prompt_endpoints(now, query, rate);
         let is_long = query.prompt >= LONG_PROMPT_TOKENS;
+        let group = match is_long {
+            true => Group::Long,
+            false => Group::Short,
+        };
+        let is_confined = confined == Some(group) && !query.is_started;
         let is_preferred = |e: &Endpoint| {
             long_prompt_endpoints.is_empty() || is_long == long_prompt_endpoints.contains(&e.hash)
         };
@@ -421,6 +461,9 @@
             if query.excluded.contains(&endpoint.listed.id) {
                 continue;
             }
+            if is_confined && !is_preferred(endpoint) {
+                continue;
+            }
             let known = endpoint.cache.cached(query.parts);
             let mut cached = known;
             if holders.home == Some(endpoint.hash) {
@@ -515,6 +558,7 @@
             urgency: query.urgency,
             source: best.source,
             expected: expected_time(best.score),
+            is_confined,
             list_age: self
                 .list_time
                 .map_or(Duration::ZERO, |at| now.saturating_duration_since(at)),
@@ -623,23 +667,37 @@
     /// for capacity.
     pub fn record_unserved(&mut self, now: Instant, query: &EndpointQuery<'_>) {
         let unshared_tokens = query.prompt.saturating_sub(shared_tokens(query.parts));
-        self.record_demand(now, query.service, query.prompt, unshared_tokens);
+        self.record_demand(
+            now,
+            query.service,
+            query.prompt,
+            unshared_tokens,
+            query.urgency,
+        );
     }
 
     /// Records prompt tokens to prefill as demand for a service.
-    fn record_demand(&mut self, now: Instant, service: &ServiceId, prompt: u32, tokens: u32) {
+    fn record_demand(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        prompt: u32,
+        tokens: u32,
+        urgency: u8,
+    ) {
         let demand = self.demand.entry(service.clone());
         let demand = demand.or_insert_with(|| Demand::new(now));
-        let rate = match prompt >= LONG_PROMPT_TOKENS {
-            true => &mut demand.long,
-            false => &mut demand.short,
+        let (rate, weighted) = match prompt >= LONG_PROMPT_TOKENS {
+            true => (&mut demand.long, &mut demand.long_urgency),
+            false => (&mut demand.short, &mut demand.short_urgency),
         };
         rate.add(now, f64::from(tokens));
+        weighted.add(now, f64::from(tokens) * f64::from(urgency));
     }
 
     /// Returns the hashes of the endpoints that take long prompts, so that the others serve short
-    /// requests without interruption. Empty if the service has too few endpoints or does not have
-    /// both kinds of requests.
+    /// requests without interruption, and the group that must keep to its endpoints. Empty if the
+    /// service has too few endpoints or does not have both kinds of requests.
     ///
     /// All instances order the endpoints alike and use the same totals, so they agree. Reclaimable
     /// endpoints come first, because long requests have the most time to be retried.
@@ -648,23 +706,27 @@
         now: Instant,
         query: &EndpointQuery<'_>,
         rate: f64,
-    ) -> Vec<u64> {
+    ) -> (Vec<u64>, Option<Group>) {
         let mut usable: Vec<_> = self
             .service_endpoints(query.service)
             .filter(|e| e.is_unlimited(now))
             .map(|e| (!e.listed.reclaimable, e.hash))
             .collect();
         if usable.len() < 2 || query.total.long <= 0.0 || query.total.short <= 0.0 {
-            return Vec::new();
+            return (Vec::new(), None);
         }
         usable.sort_unstable();
-        let long = query.total.long / (rate * 1_000.0 * LONG_PROMPT_UTILIZATION);
-        let short = query.total.short / (rate * 1_000.0 * SHORT_PROMPT_UTILIZATION);
-        // Under overload both groups shrink in proportion.
-        let scale_down = (usable.len() as f64 / (long.ceil() + short)).min(1.0);
-        let count = (long.ceil() * scale_down).round() as usize;
-        let count = count.clamp(1, usable.len() - 1);
-        usable[..count].iter().map(|(_, hash)| *hash).collect()
+        let needs = Needs {
+            long: query.total.long / (rate * 1_000.0 * LONG_PROMPT_UTILIZATION),
+            short: query.total.short / (rate * 1_000.0 * SHORT_PROMPT_UTILIZATION),
+        };
+        let demand = self.demand.get(query.service);
+        let urgent = demand
+            .filter(|_| self.urgent_first)
+            .and_then(|demand| demand.urgent_group(now));
+        let division = division::divide(usable.len(), needs, urgent);
+        let long = usable[..division.long].iter().map(|(_, hash)| *hash);
+        (long.collect(), division.confined)
     }
 
     /// Returns the load that the callers of this instance put on each service.
@@ -724,7 +786,13 @@
     pub fn start(&mut self, now: Instant, choice: &Choice, parts: &[PromptPart]) -> CallId {
         self.last_call_id += 1;
         let service = &choice.listed.service;
-        self.record_demand(now, service, choice.prompt, choice.prefill_tokens);
+        self.record_demand(
+            now,
+            service,
+            choice.prompt,
+            choice.prefill_tokens,
+            choice.urgency,
+        );
         let call_id = CallId(self.last_call_id);
         let limit = self.cache_limit(&choice.listed.service);
         if let Some(endpoint) = self.endpoints.get_mut(&choice.listed.id) {
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -127,6 +127,8 @@
     pub retry_config: SharedBudgetConfig,
     /// Request counters and latency histograms.
     pub metrics: TrafficMetrics,
+    /// Whether the more urgent group of requests gets the engines that it needs first ([`crate::division`]).
+    pub urgent_first: bool,
 }
 
 /// The route of a request, the workspace of its API key if the route needs one, and its rank by urgency.
@@ -160,6 +162,9 @@
     /// Creates a forwarder.
     pub fn new(settings: Settings) -> Arc<Self> {
         settings.control.endpoint_limits().serve_callers();
+        if settings.urgent_first {
+            supervision::lock(&settings.fleet).set_urgent_first();
+        }
         Arc::new(Self {
             started: settings.clock.now(),
             settings,
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -474,6 +474,7 @@
             waited_ms = self.now().saturating_duration_since(self.arrived).as_millis() as u64,
             list_age_ms = guard.choice.list_age.as_millis() as u64,
             limit = guard.stated_limit.map(RequestRate::per_second),
+            confined = guard.choice.is_confined.then_some(true),
             outcome = outcome.map_or("started", CallOutcome::name),
             "attempt"
         );
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod disk;
 pub mod dispatcher;
 pub mod dissemination;
+pub mod division;
 pub mod document_service;
 pub mod drain;
 pub mod duties;
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -106,6 +106,8 @@
     pub grace: Duration,
     /// Maximum time for which a configuration is served without contact to the group.
     pub stale_limit: Duration,
+    /// Whether the more urgent group of requests gets the engines that it needs first.
+    pub urgent_first: bool,
     /// Bounds for the requests to cold endpoints; without them, endpoints are not treated as cold.
     pub cold: Option<ColdTerms>,
 }
@@ -193,6 +195,7 @@
             fingerprinter: fingerprinter(&self.settings.secrets)?,
             retry_config: self.settings.retry_budget,
             metrics,
+            urgent_first: self.settings.urgent_first,
         });
         if let Some(platform) = self.settings.platform {
             self.discovery = Some(Discovery::start(discovery::Config {
--- a/lib/tests/test_decisions.rs
+++ b/lib/tests/test_decisions.rs
@@ -7,7 +7,7 @@
 use googletest::prelude::*;
 
 /// Folders of `lib/src` that hold decisions.
-const FOLDERS: &[&str] = &["cold", "evacuation"];
+const FOLDERS: &[&str] = &["cold", "division", "evacuation"];
 
 /// Files in these folders that carry decisions out: they take the clock and the shared state of the process.
 const SHELLS: &[&str] = &["cold/watch.rs"];
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -433,6 +433,43 @@
 }
 
 /// With a mix of long and short prompts, some engines must be kept free of long ones.
+/// Guards against urgent requests that pay for long prompts when a zone of engines is gone: with a division in
+/// proportion, the long prompts had half of the engines and the urgent ones too few.
+#[gtest]
+fn choose_urgent_group_first() {
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let chosen = |urgent_first: bool, prompt: u32, urgency: u8| {
+        let mut f = Fixture::new(&names);
+        if urgent_first {
+            f.fleet.set_urgent_first();
+        }
+        f.total = ServiceLoad {
+            long: 280_000.0,
+            short: 120_000.0,
+            calls: 10.0,
+            rate: 50.0,
+        };
+        let mut start = |prompt, urgency| {
+            let query = EndpointQuery {
+                prompt,
+                urgency,
+                ..f.query()
+            };
+            let choice = f.fleet.choose(f.now, &query).expect("an endpoint");
+            f.fleet.start(f.now, &choice, &[]);
+            choice
+        };
+        // Without requests of both groups, neither is known to be more urgent.
+        start(10_000, 2);
+        start(500, 0);
+        let choices = (0..24).map(|_| name(&start(prompt, urgency)).to_owned());
+        choices.collect::<std::collections::BTreeSet<_>>().len()
+    };
+    expect_that!(chosen(true, 500, 0), ge(7));
+    expect_that!(chosen(true, 10_000, 2), eq(1));
+    expect_that!(chosen(false, 10_000, 2), ge(4));
+}
+
 #[gtest]
 fn choose_separates_long_prompts() {
     let mut f = Fixture::new(&["a", "b", "c", "d"]);
