Let requests wait at the entry while engines lack time

Cause: an entry sent each request at once or refused it. Under overload everything queued inside engines, beside prompts that were read all the time, streams held their slots several times as long, and what waited in an engine was lost with it. Both groups of engines, for long and for short prompts, shrank in proportion, so that urgent callers paid for the others.

Change: instances report the demand for each kind of request with their load and derive from the sums which portion of each kind the engines have time for, the more urgent first. The rest waits at the entry or is refused at once. Long prompts keep to their engines while time is short.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -46,6 +46,9 @@
 use crate::ids::EndpointId;
 use crate::ids::ServiceId;
 use crate::ids::ZoneId;
+use crate::line::demand::Demands;
+use crate::line::portion::EngineCapacity;
+use crate::line::portion::Kind;
 use crate::prefix_hint::MIN_HINT_TOKENS;
 use crate::prefix_hint::PrefixHint;
 use crate::prompt_source::PromptHolders;
@@ -55,6 +58,7 @@
 use crate::refused_callers::RefusedCaller;
 use crate::refused_callers::RefusedCallers;
 use crate::route_table::EngineSpec;
+use crate::service_load::DECAY_TIME;
 use crate::service_load::DEFAULT_PREFILL_RATE;
 use crate::service_load::EngineBacklog;
 use crate::service_load::EngineBacklogs;
@@ -233,6 +237,8 @@
     /// Prefill rates in tokens per millisecond.
     prefill_rates: HashMap<ServiceId, f64>,
     demand: HashMap<ServiceId, Demand>,
+    /// Demand by kind of request, if requests wait at this instance.
+    demands: Option<Demands>,
     refused_callers: RefusedCallers,
     call_endpoints: HashMap<CallId, EndpointId>,
     /// Shared parts sent to engines that did not have them cached, not yet reported to other
@@ -274,6 +280,7 @@
             engines: HashMap::new(),
             prefill_rates: HashMap::new(),
             demand: HashMap::new(),
+            demands: None,
             refused_callers: RefusedCallers::default(),
             call_endpoints: HashMap::new(),
             prefix_hints: Vec::new(),
@@ -284,6 +291,44 @@
         }
     }
 
+    /// Keeps account of the demand for each kind of request, by which they wait for their turn
+    /// ([`crate::line`]).
+    pub fn enable_line(&mut self) {
+        self.demands.get_or_insert_default();
+    }
+
+    /// Returns the demand by kind of request, if requests wait at this instance.
+    pub fn demands(&self) -> Option<&Demands> {
+        self.demands.as_ref()
+    }
+
+    /// Returns the demand by kind of request, to update it.
+    pub fn demands_mut(&mut self) -> Option<&mut Demands> {
+        self.demands.as_mut()
+    }
+
+    /// Returns the number of engines of a service that accept requests and the capacity of one of them, or
+    /// `None` if there are none. `rate` is the prefill rate that all instances have observed, or 0.
+    pub fn capacity(
+        &self,
+        now: Instant,
+        service: &ServiceId,
+        rate: f64,
+    ) -> Option<(usize, EngineCapacity)> {
+        let usable = self
+            .service_endpoints(service)
+            .filter(|e| e.is_unlimited(now));
+        let (engines, slots) = usable.fold((0, 0.0), |(count, slots), e| {
+            (count + 1, slots + f64::from(e.listed.slots.max(1)))
+        });
+        let rate = match rate > 0.0 {
+            true => rate,
+            false => self.prefill_rate(service),
+        };
+        let slots = slots / f64::from(engines);
+        (engines > 0).then_some((engines as usize, EngineCapacity { rate, slots }))
+    }
+
     /// Sets the properties of a service's engines.
     pub fn set_engine_spec(&mut self, service: &ServiceId, engine: EngineSpec) {
         self.engines.insert(service.clone(), engine);
@@ -377,6 +422,9 @@
             is_preferred,
         );
         let yields_permit = self.yields_permit(now, query);
+        let keeps_apart = is_long
+            && !query.is_started
+            && self.keeps_long_prompts_apart(now, query, &long_prompt_endpoints);
         let mut best: Option<Candidate<'_>> = None;
         let mut fastest: Option<Candidate<'_>> = None;
         // Ranks of the endpoints for which only a permit is missing.
@@ -388,6 +436,9 @@
             if query.excluded.contains(&endpoint.listed.id) {
                 continue;
             }
+            if keeps_apart && !is_preferred(endpoint) {
+                continue;
+            }
             let known = endpoint.cache.cached(query.parts);
             let mut cached = known;
             if holders.home == Some(endpoint.hash) {
@@ -589,8 +640,19 @@
     /// Records the prompt tokens of a request that no endpoint had time for, so that they count as demand
     /// for capacity.
     pub fn record_unserved(&mut self, now: Instant, query: &EndpointQuery<'_>) {
-        let unshared_tokens = query.prompt.saturating_sub(shared_tokens(query.parts));
-        self.record_demand(now, query.service, query.prompt, unshared_tokens);
+        self.record_unserved_prompt(now, query.service, query.prompt, query.parts);
+    }
+
+    /// As [`Self::record_unserved`], for a request that was refused before an endpoint was chosen.
+    pub fn record_unserved_prompt(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        prompt: u32,
+        parts: &[PromptPart],
+    ) {
+        let unshared_tokens = prompt.saturating_sub(shared_tokens(parts));
+        self.record_demand(now, service, prompt, unshared_tokens);
     }
 
     /// Records prompt tokens to prefill as demand for a service.
@@ -629,11 +691,42 @@
         let short = query.total.short / (rate * 1_000.0 * SHORT_PROMPT_UTILIZATION);
         // Under overload both groups shrink in proportion.
         let scale_down = (usable.len() as f64 / (long.ceil() + short)).min(1.0);
-        let count = (long.ceil() * scale_down).round() as usize;
+        let mut count = (long.ceil() * scale_down).round() as usize;
+        let division = self
+            .demands
+            .as_ref()
+            .and_then(|d| d.division(query.service));
+        if let Some(engines) = division.and_then(|division| division.long_engines)
+            && scale_down < 1.0
+        {
+            // Instead, the more urgent group gets what it needs.
+            count = engines;
+        }
         let count = count.clamp(1, usable.len() - 1);
         usable[..count].iter().map(|(_, hash)| *hash).collect()
     }
 
+    /// Returns whether long prompts must not go to other endpoints than those for long prompts, as the
+    /// engines lack time for all requests and the others are left to more urgent ones.
+    fn keeps_long_prompts_apart(
+        &self,
+        now: Instant,
+        query: &EndpointQuery<'_>,
+        long_prompt_endpoints: &[u64],
+    ) -> bool {
+        let division = self
+            .demands
+            .as_ref()
+            .and_then(|d| d.division(query.service));
+        let is_allowed = |e: &Endpoint| {
+            long_prompt_endpoints.contains(&e.hash)
+                && e.is_usable(now)
+                && !query.excluded.contains(&e.listed.id)
+        };
+        division.is_some_and(|division| division.is_short)
+            && self.service_endpoints(query.service).any(is_allowed)
+    }
+
     /// Returns the load that the callers of this instance put on each service.
     pub fn service_loads(&self, now: Instant) -> LoadByService {
         let load = |(service, demand): (&ServiceId, &Demand)| {
@@ -659,9 +752,17 @@
             .values()
             .filter(|e| !e.local_calls.is_empty());
         self.last_report = busy.map(|e| (e.hash, e.local_load())).collect();
+        let mut by_service = self.service_loads(now);
+        let demands = self.demands.as_ref();
+        for (service, long, short) in demands.into_iter().flat_map(Demands::waiting_tokens) {
+            let load = by_service.entry(service.clone()).or_default();
+            load.long += long / DECAY_TIME.as_secs_f64();
+            load.short += short / DECAY_TIME.as_secs_f64();
+        }
         LoadSummary {
-            by_service: self.service_loads(now),
+            by_service,
             engines: self.last_report.clone(),
+            kinds: demands.map_or_else(BTreeMap::new, |demands| demands.loads(now)),
         }
     }
 
@@ -692,6 +793,15 @@
         self.last_call_id += 1;
         let service = &choice.listed.service;
         self.record_demand(now, service, choice.prompt, choice.prefill_tokens);
+        if let Some(demands) = &mut self.demands {
+            let fraction = f64::from(choice.prefill_tokens) / f64::from(choice.prompt.max(1));
+            demands.record_read(
+                now,
+                service,
+                Kind::of(choice.urgency, choice.prompt),
+                fraction,
+            );
+        }
         let call_id = CallId(self.last_call_id);
         let limit = self.cache_limit(&choice.listed.service);
         if let Some(endpoint) = self.endpoints.get_mut(&choice.listed.id) {
--- a/lib/src/forward.rs
+++ b/lib/src/forward.rs
@@ -45,6 +45,7 @@
 use crate::ids::RouteId;
 use crate::ids::ServiceId;
 use crate::ids::WorkspaceId;
+use crate::line::turn::Lines;
 use crate::open_requests::OpenRequestGuard;
 use crate::open_requests::OpenRequests;
 use crate::retry::RetryChance;
@@ -124,6 +125,8 @@
     pub retry_config: SharedBudgetConfig,
     /// Request counters and latency histograms.
     pub metrics: TrafficMetrics,
+    /// Whether requests for which engines have no room wait at this instance ([`crate::line`]).
+    pub entry_queue: bool,
 }
 
 /// The route of a request, the workspace of its API key if the route needs one, and its rank by urgency.
@@ -146,6 +149,8 @@
     /// Usual response times by route.
     response_times: Mutex<HashMap<RouteId, ResponseTime>>,
     open_requests: OpenRequests,
+    /// Requests that wait for their turn, if they do at this instance.
+    pub(crate) lines: Option<Lines>,
 }
 
 thread_local! {
@@ -157,8 +162,12 @@
     /// Creates a forwarder.
     pub fn new(settings: Settings) -> Arc<Self> {
         settings.control.endpoint_limits().serve_callers();
+        if settings.entry_queue {
+            supervision::lock(&settings.fleet).enable_line();
+        }
         Arc::new(Self {
             started: settings.clock.now(),
+            lines: settings.entry_queue.then(Lines::default),
             settings,
             table: RwLock::default(),
             budgets: Mutex::default(),
@@ -267,7 +276,7 @@
         }
     }
 
-    fn is_leaving(&self) -> bool {
+    pub(crate) fn is_leaving(&self) -> bool {
         self.stop_window.get().is_some()
     }
 
--- a/lib/src/forward_call.rs
+++ b/lib/src/forward_call.rs
@@ -12,6 +12,7 @@
 use crate::fleet::CallOutcome;
 use crate::fleet::Choice;
 use crate::forward::Forwarder;
+use crate::line::portion::Kind;
 use crate::upstream;
 
 /// Point from which an attempt continues the response; the default is the beginning.
@@ -45,6 +46,8 @@
     pub sent: Instant,
     /// The limit that the endpoint stated in its response.
     pub stated_limit: Option<RequestRate>,
+    /// Time at which the response head arrived.
+    pub responded: Option<Instant>,
     /// Whether the endpoint executed the request, according to its response.
     pub is_success: bool,
     /// Whether the end of the call was recorded.
@@ -66,6 +69,7 @@
             choice,
             sent: forwarder.settings.clock.now(),
             stated_limit: None,
+            responded: None,
             is_success: false,
             ended: false,
         }
@@ -87,7 +91,16 @@
     pub(crate) fn end(&mut self, outcome: CallOutcome) {
         if !std::mem::replace(&mut self.ended, true) {
             let now = self.forwarder.settings.clock.now();
-            self.forwarder.fleet().end(now, self.call_id, outcome);
+            let mut fleet = self.forwarder.fleet();
+            fleet.end(now, self.call_id, outcome);
+            if let (CallOutcome::Served, Some(responded)) = (outcome, self.responded)
+                && let Some(demands) = fleet.demands_mut()
+            {
+                let kind = Kind::of(self.choice.urgency, self.choice.prompt);
+                let time = now.saturating_duration_since(responded);
+                demands.record_run(now, &self.choice.listed.service, kind, time);
+            }
+            drop(fleet);
             self.forwarder.record_outcome(
                 &self.choice.listed,
                 &self.prints,
@@ -107,6 +120,7 @@
             choice: self.choice.clone(),
             sent: self.sent,
             stated_limit: self.stated_limit,
+            responded: self.responded,
             is_success: self.is_success,
             ended,
         }
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -72,7 +72,7 @@
 
 /// Largest factor on the time after which a caller is to come back, so that callers which were refused
 /// together do not come back together.
-const MAX_RETURN_SPREAD: f64 = 1.25;
+pub(crate) const MAX_RETURN_SPREAD: f64 = 1.25;
 
 /// Class in the usage rows of all forwarded requests, which the platform accounts by workspace only.
 const USAGE_CLASS: &str = "forwarded";
@@ -186,6 +186,12 @@
     /// Makes attempts until one gives a response or no further attempt is allowed.
     pub(crate) async fn run(mut self) -> Result<Response, Refusal> {
         loop {
+            if let Err(refusal) = self.wait_turn().await {
+                if self.attempts > 0 {
+                    self.forwarder.return_retry(&self.service);
+                }
+                return Err(self.true_refusal(refusal));
+            }
             let attempt = self.attempt(StartPoint::default()).await;
             let failure = match attempt.map_err(|refusal| self.true_refusal(refusal))? {
                 Ok(started) => return self.send_response(started).await,
@@ -561,6 +567,7 @@
         let ran = is_success && response_info.signed && !response_info.refused;
         fleet.record_response(now, guard.call_id, &response_info, ran);
         guard.is_success = ran;
+        guard.responded = ran.then_some(now);
         let endpoint = &guard.choice.listed.id;
         self.forwarder
             .record_limit(endpoint, guard.sent, &response_info, ran);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -75,6 +75,7 @@
 pub mod lease;
 pub mod length;
 pub mod limit;
+pub mod line;
 pub mod load;
 pub mod load_poller;
 pub mod log_writer;
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -104,6 +104,8 @@
     pub grace: Duration,
     /// Maximum time for which a configuration is served without contact to the group.
     pub stale_limit: Duration,
+    /// Whether requests for which engines have no room wait at this instance.
+    pub entry_queue: bool,
 }
 
 /// A running process.
@@ -183,6 +185,7 @@
             fingerprinter: fingerprinter(&self.settings.secrets)?,
             retry_config: self.settings.retry_budget,
             metrics,
+            entry_queue: self.settings.entry_queue,
         });
         if let Some(platform) = self.settings.platform {
             self.discovery = Some(Discovery::start(discovery::Config {
--- a/lib/src/service_load.rs
+++ b/lib/src/service_load.rs
@@ -14,6 +14,9 @@
 
 use crate::ids::InstanceId;
 use crate::ids::ServiceId;
+use crate::line::portion::KindLoad;
+use crate::line::portion::KindLoads;
+use crate::route_table::URGENCY_LEVELS;
 
 /// Prompt tokens from which a request counts as long. Engines commonly prefill in chunks of 4,096
 /// tokens, and each chunk delays the output tokens of all other requests on the engine.
@@ -24,10 +27,10 @@
 pub const DEFAULT_PREFILL_RATE: f64 = 50.0;
 
 /// Time constant of the exponential decay of a rate.
-const DECAY_TIME: Duration = Duration::from_secs(2);
+pub const DECAY_TIME: Duration = Duration::from_secs(2);
 
 /// Age from which the report of an instance is ignored; several poll intervals.
-const REPORT_EXPIRY: Duration = Duration::from_secs(3);
+pub const REPORT_EXPIRY: Duration = Duration::from_secs(3);
 
 /// Load on one service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -45,18 +48,21 @@
 /// Largest value of a reported load; no instance reaches it, and sums of it remain finite.
 const MAX_LOAD: f64 = 1e12;
 
+fn bounded(value: f64) -> f64 {
+    match value.is_nan() {
+        true => 0.0,
+        false => value.clamp(0.0, MAX_LOAD),
+    }
+}
+
 impl ServiceLoad {
     /// Returns the load with each value in its range, since one wrong report would spoil every sum.
     fn bounded(self) -> Self {
-        let bound = |value: f64| match value.is_nan() {
-            true => 0.0,
-            false => value.clamp(0.0, MAX_LOAD),
-        };
         Self {
-            long: bound(self.long),
-            short: bound(self.short),
-            calls: bound(self.calls),
-            rate: bound(self.rate),
+            long: bounded(self.long),
+            short: bounded(self.short),
+            calls: bounded(self.calls),
+            rate: bounded(self.rate),
         }
     }
 
@@ -108,6 +114,8 @@
     pub by_service: LoadByService,
     /// Backlogs of engines; only the busiest if there are too many for a report.
     pub engines: EngineBacklogs,
+    /// Load by kind of request; empty unless requests wait at the entries (`docs/design/line.md`).
+    pub kinds: BTreeMap<ServiceId, KindLoads>,
 }
 
 impl LoadSummary {
@@ -118,6 +126,12 @@
                 .or_default()
                 .add(load);
         }
+        for (service, kinds) in &other.kinds {
+            let sums = self.kinds.entry(service.clone()).or_default();
+            for (kind, load) in kinds {
+                sums.entry(*kind).or_default().add(load);
+            }
+        }
         for (engine, backlog) in &other.engines {
             let sum = self.engines.entry(*engine).or_default();
             sum.calls = sum.calls.saturating_add(backlog.calls);
@@ -125,6 +139,22 @@
         }
     }
 
+    /// Drops kinds that do not exist and bounds the values of the others.
+    fn bound(&mut self) {
+        for load in self.by_service.values_mut() {
+            *load = load.bounded();
+        }
+        for kinds in self.kinds.values_mut() {
+            kinds.retain(|kind, _| kind.urgency < URGENCY_LEVELS);
+            for load in kinds.values_mut() {
+                *load = KindLoad {
+                    read: bounded(load.read),
+                    slots: bounded(load.slots),
+                };
+            }
+        }
+    }
+
     fn truncate(&mut self) {
         if self.engines.len() > MAX_ENGINES_PER_REPORT {
             let mut busiest: Vec<_> = std::mem::take(&mut self.engines).into_iter().collect();
@@ -175,9 +205,7 @@
 impl LoadAggregator {
     /// Replaces the report of an instance.
     pub fn set(&mut self, now: Instant, instance: &InstanceId, mut report: LoadSummary) {
-        for load in report.by_service.values_mut() {
-            *load = load.bounded();
-        }
+        report.bound();
         self.reports.insert(instance.clone(), (now, report));
     }
 
--- a/lib/src/traffic_metrics.rs
+++ b/lib/src/traffic_metrics.rs
@@ -8,6 +8,7 @@
 use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -33,6 +34,8 @@
     lease_ends: IntGauge,
     total: HistogramVec,
     first: HistogramVec,
+    waiting: IntGaugeVec,
+    waited: HistogramVec,
 }
 
 impl TrafficMetrics {
@@ -87,6 +90,21 @@
                 "Arrival to the end of an answer",
             )?,
             first: latency("fulmarford_first_seconds", "Sending to the first byte")?,
+            waiting: IntGaugeVec::new(
+                Opts::new(
+                    "fulmarford_waiting_requests",
+                    "Requests that wait for their turn",
+                ),
+                &["service"],
+            )?,
+            waited: HistogramVec::new(
+                HistogramOpts::new(
+                    "fulmarford_waited_seconds",
+                    "Time that requests waited for their turn, by what became of them",
+                )
+                .buckets(LATENCY_BUCKETS.to_vec()),
+                &["service", "outcome"],
+            )?,
         };
         metrics
             .registry
@@ -110,6 +128,12 @@
             .register(Box::new(metrics.lease_ends.clone()))?;
         metrics.registry.register(Box::new(metrics.total.clone()))?;
         metrics.registry.register(Box::new(metrics.first.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.waiting.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.waited.clone()))?;
         Ok(metrics)
     }
 
@@ -127,6 +151,19 @@
         first.observe(took.as_secs_f64());
     }
 
+    /// Records the number of requests that wait for their turn.
+    pub fn waiting(&self, service: &ServiceId, count: usize) {
+        let gauge = self.waiting.with_label_values(&[service.as_str()]);
+        gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// Records how long a request waited for its turn, and whether it `starts` or was `refused`.
+    pub fn waited(&self, service: &ServiceId, outcome: &str, waited: Duration) {
+        let labels = [service.as_str(), outcome];
+        let histogram = self.waited.with_label_values(&labels);
+        histogram.observe(waited.as_secs_f64());
+    }
+
     /// Counts a refusal or failure that this instance generated itself.
     pub fn refused(&self, code: ResultCode) {
         let code = code.number().to_string();
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -22,6 +22,7 @@
 use fulmarford_lib::fleet::is_large_cluster;
 use fulmarford_lib::ids::EndpointId;
 use fulmarford_lib::ids::ServiceId;
+use fulmarford_lib::line::portion::Division;
 use fulmarford_lib::refused_callers::Need;
 use fulmarford_lib::route_table::EngineSpec;
 use fulmarford_lib::service_load::EngineBacklog;
@@ -1102,3 +1103,31 @@
         );
     }
 }
+
+/// Guards against urgent requests that pay for a burst of long prompts: under overload, they get the
+/// endpoints that they need and long prompts keep to the others.
+#[gtest]
+fn choose_leaves_endpoints_to_more_urgent() {
+    let names = ["a", "b", "c", "d"];
+    let mut f = Fixture::new(&names);
+    f.fleet.enable_line();
+    f.total = ServiceLoad {
+        long: 400_000.0,
+        short: 30_000.0,
+        ..ServiceLoad::default()
+    };
+    let division = Division {
+        long_engines: Some(1),
+        is_short: true,
+        ..Division::default()
+    };
+    let demands = f.fleet.demands_mut().expect("enabled");
+    demands.set_division(&f.service, division);
+    let mut used = std::collections::BTreeSet::new();
+    for _ in 0..20 {
+        let choice = f.choose(10_000);
+        f.fleet.start(f.now, &choice, &[]);
+        used.insert(choice.listed.id);
+    }
+    expect_that!(used.len(), eq(1));
+}
--- a/lib/tests/test_odd_messages.rs
+++ b/lib/tests/test_odd_messages.rs
@@ -198,6 +198,7 @@
             let report = LoadSummary {
                 by_service: [("llm".into(), load)].into(),
                 engines: engines.collect(),
+                ..LoadSummary::default()
             };
             if let Some(report) = travel(&report) {
                 sum.set(now, &format!("i-{number}").as_str().into(), report);
--- a/lib/tests/test_service_load.rs
+++ b/lib/tests/test_service_load.rs
@@ -4,7 +4,6 @@
 use std::time::Instant;
 
 use fulmarford_lib::service_load::EngineBacklog;
-use fulmarford_lib::service_load::EngineBacklogs;
 use fulmarford_lib::service_load::LoadAggregator;
 use fulmarford_lib::service_load::LoadSummary;
 use fulmarford_lib::service_load::Rate;
@@ -20,7 +19,7 @@
     };
     LoadSummary {
         by_service: [("llm".into(), load)].into(),
-        engines: EngineBacklogs::new(),
+        ..LoadSummary::default()
     }
 }
 
