Keep only the less urgent group waiting, with credit for unused time

Cause: an instance of a large cluster sees about one request of a kind in a second. A start left a debt that one arrival cannot pay in the time that an urgent caller has, so a portion just below 1 refused most of the kind; the refused callers came back, counted as demand again and kept the portion there after the load had gone.

Change: the more urgent group starts at once, and engines order it by urgency themselves. What a paced kind did not use may be used within the time over which demand is averaged. Requests that can only be late get half of the time, so fewer are refused at once. Planners see arrivals as demand, not what waits.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -58,7 +58,6 @@
 use crate::refused_callers::RefusedCaller;
 use crate::refused_callers::RefusedCallers;
 use crate::route_table::EngineSpec;
-use crate::service_load::DECAY_TIME;
 use crate::service_load::DEFAULT_PREFILL_RATE;
 use crate::service_load::EngineBacklog;
 use crate::service_load::EngineBacklogs;
@@ -754,10 +753,11 @@
         self.last_report = busy.map(|e| (e.hash, e.local_load())).collect();
         let mut by_service = self.service_loads(now);
         let demands = self.demands.as_ref();
-        for (service, long, short) in demands.into_iter().flat_map(Demands::waiting_tokens) {
+        // What waits is not at an endpoint yet.
+        for (service, long, short) in demands.into_iter().flat_map(|d| d.arriving_tokens(now)) {
             let load = by_service.entry(service.clone()).or_default();
-            load.long += long / DECAY_TIME.as_secs_f64();
-            load.short += short / DECAY_TIME.as_secs_f64();
+            load.long = load.long.max(long);
+            load.short = load.short.max(short);
         }
         LoadSummary {
             by_service,
--- a/lib/src/line/demand.rs
+++ b/lib/src/line/demand.rs
@@ -171,12 +171,12 @@
             .collect()
     }
 
-    /// Returns the prompt tokens of waiting requests by service, those of long prompts first.
-    pub fn waiting_tokens(&self) -> impl Iterator<Item = (&ServiceId, f64, f64)> {
-        self.by_service.iter().map(|(service, kinds)| {
+    /// Returns the prompt tokens to read per second of all arrivals by service, those of long prompts first.
+    pub fn arriving_tokens(&self, now: Instant) -> impl Iterator<Item = (&ServiceId, f64, f64)> {
+        self.by_service.iter().map(move |(service, kinds)| {
             let tokens = |is_long| {
                 let kinds = kinds.iter().filter(|(kind, _)| kind.is_long == is_long);
-                kinds.map(|(_, demand)| demand.waiting.read).sum()
+                kinds.map(|(_, demand)| demand.read.get(now)).sum()
             };
             (service, tokens(true), tokens(false))
         })
--- a/lib/src/line/portion.rs
+++ b/lib/src/line/portion.rs
@@ -114,7 +114,11 @@
     if short.is_empty() || long.is_empty() || engines < 2 {
         let mut needs = [short, long].concat();
         needs.sort_unstable_by_key(|(kind, _)| *kind);
-        let portions = portions(&needs, all * REST_USE);
+        let mut portions = portions(&needs, all * REST_USE);
+        // Engines order what they have by urgency themselves.
+        if let Some((most_urgent, _)) = needs.first() {
+            portions.remove(most_urgent);
+        }
         return Division {
             long_engines: None,
             is_short: !portions.is_empty(),
@@ -136,18 +140,17 @@
     };
     let first_count = (first_count.ceil() as usize).clamp(1, engines - 1);
     let rest_count = engines - first_count;
-    let mut all_portions = BTreeMap::new();
-    if is_short {
-        all_portions = portions(first, first_count as f64 * REST_USE);
-        all_portions.append(&mut portions(rest, rest_count as f64 * REST_USE));
-    }
     Division {
         long_engines: Some(match is_long_first {
             true => first_count,
             false => rest_count,
         }),
         is_short,
-        portions: all_portions,
+        // The more urgent group starts at once, so that no admission pays for what is less urgent.
+        portions: match is_short {
+            true => portions(rest, rest_count as f64 * REST_USE),
+            false => BTreeMap::new(),
+        },
     }
 }
 
--- a/lib/src/line/queue.rs
+++ b/lib/src/line/queue.rs
@@ -19,9 +19,10 @@
 use crate::fairness;
 use crate::fairness::VirtualClock;
 use crate::line::portion::Kind;
+use crate::service_load::DECAY_TIME;
 
 /// Fraction of the starts that requests get which can only be late, while others could be on time.
-const LATE_SHARE: f64 = 0.2;
+const LATE_SHARE: f64 = 0.5;
 
 /// Largest number of requests that wait at an instance for a service.
 pub const MAX_WAITING: usize = 1_000;
@@ -29,6 +30,10 @@
 /// Largest size of the requests that wait at an instance for a service, in bytes.
 pub const MAX_BYTES: usize = 16 << 20;
 
+/// Time for which a rate that was not used may be used later. An instance of a large cluster sees few requests
+/// of a kind, which come at irregular times; over this time demand is averaged as well.
+const CREDIT_TIME: Duration = DECAY_TIME;
+
 /// Longest wait that is told apart.
 const MAX_WAIT: Duration = Duration::from_secs(3_600);
 
@@ -118,7 +123,10 @@
         let elapsed = now.saturating_duration_since(self.credited).as_secs_f64();
         self.credit = match self.flow {
             Flow::Open => 0.0,
-            Flow::Paced { rate, .. } => (self.credit + rate * elapsed).min(0.0),
+            Flow::Paced { rate, .. } => {
+                let most = rate * CREDIT_TIME.as_secs_f64();
+                (self.credit + rate * elapsed).min(most)
+            }
         };
         self.credited = now;
         self.flow = flow;
@@ -130,7 +138,7 @@
         let Flow::Paced { rate, .. } = self.flow else {
             return Duration::ZERO;
         };
-        let seconds = (ahead - self.credit) / rate + late.max(0.0) / (rate * share);
+        let seconds = (ahead - self.credit).max(0.0) / rate + late.max(0.0) / (rate * share);
         let wait = Duration::try_from_secs_f64(seconds).unwrap_or(MAX_WAIT);
         wait.min(MAX_WAIT)
     }
--- a/lib/tests/test_service_load.rs
+++ b/lib/tests/test_service_load.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use fulmarford_lib::line::portion::Kind;
+use fulmarford_lib::line::portion::KindLoad;
 use fulmarford_lib::service_load::EngineBacklog;
 use fulmarford_lib::service_load::LoadAggregator;
 use fulmarford_lib::service_load::LoadSummary;
@@ -129,3 +131,21 @@
         }
     }
 }
+
+/// All instances derive the portions from the same sums, in which no wrong report may stand.
+#[gtest]
+fn sum_kinds() {
+    let now = Instant::now();
+    let mut sum = LoadAggregator::default();
+    let kind = Kind::of(1, 500);
+    for (name, read) in [("a", 100.0), ("b", 50.0), ("odd", f64::NAN)] {
+        let load = KindLoad { read, slots: 1.0 };
+        let report = LoadSummary {
+            kinds: [("llm".into(), [(kind, load)].into())].into(),
+            ..LoadSummary::default()
+        };
+        sum.set(now, &name.into(), report);
+    }
+    let total = sum.sum(now).kinds["llm"][&kind];
+    expect_that!((total.read, total.slots), eq((150.0, 3.0)));
+}
