--- a/lib/src/discovery.rs
+++ b/lib/src/discovery.rs
@@ -64,7 +64,7 @@
 const MAX_PAGE_ATTEMPTS: u32 = 100;
 
 /// Share of the platform's rate limit that reads of the list may use.
-pub(crate) const RATE_SHARE: f64 = 0.6;
+const RATE_SHARE: f64 = 0.6;
 
 /// Delay before a rejected page request is repeated. At the platform's usual rate limit, it accepts two
 /// calls in this time.
--- a/lib/src/node.rs
+++ b/lib/src/node.rs
@@ -235,7 +235,6 @@
         };
         self.duties = Some(SiteDuties::start(site_duties::Config {
             platform,
-            rate: settings.list_rate,
             dialect: dialect.clone(),
             control: self.control.control(),
             clock: clock.clone(),
--- a/lib/src/shared_list.rs
+++ b/lib/src/shared_list.rs
@@ -295,19 +295,6 @@
         }
     }
 
-    /// Returns whether a follower should read the platform's list for the instances that poll it: the list that it
-    /// relays is too old to be sent to others, or it reads already and no leader has sent a newer list. The
-    /// instances would otherwise keep their last list, in which an endpoint that leaves still appears as ready.
-    pub fn lacks_leader(&self, now: Instant) -> bool {
-        let published = supervision::lock(&self.published);
-        published.read_at.is_some() && (published.is_reader || !published.is_fresh(now))
-    }
-
-    /// Returns the number of endpoints of the published list.
-    pub fn published_count(&self) -> usize {
-        supervision::lock(&self.published).entries.len()
-    }
-
     /// Returns the revision of the published list.
     pub fn revision(&self) -> ListRevision {
         supervision::lock(&self.published).revision
--- a/lib/src/site_duties.rs
+++ b/lib/src/site_duties.rs
@@ -27,7 +27,6 @@
 use crate::command::UsageTerms;
 use crate::control::Control;
 use crate::control::SubmitError;
-use crate::control_core::MAX_DIRECT_POLLERS;
 use crate::dialect::Dialect;
 use crate::dialect::EndpointOrder;
 use crate::dialect::FencedCaller;
@@ -54,12 +53,6 @@
 /// Minimum interval between the starts of two reads of the endpoint list for orders.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Number of voters that the rate of their own reads is planned for; there are rarely more.
-const PLANNED_VOTERS: f64 = 9.0;
-
-/// Number of endpoints per page of the platform's list that reads are planned for.
-const PLANNED_PAGE: usize = 50;
-
 /// Timeout of a command to the control state; the tasks submit it again.
 const SUBMIT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -67,8 +60,6 @@
 pub struct Config {
     /// Address of the platform interface.
     pub platform: SocketAddr,
-    /// Calls per second that the platform accepts from all instances together.
-    pub rate: f64,
     /// The platform's wire format.
     pub dialect: Arc<dyn Dialect>,
     /// Handle to the control thread.
@@ -117,7 +108,6 @@
                 last_read: None,
                 table: None,
             },
-            last_follower_read: None,
             order_calls: caller("orders")?,
             lease_replies: Vec::new(),
             release_replies: Vec::new(),
@@ -209,8 +199,6 @@
     reporter: Arc<Mutex<Reporter>>,
     report_calls: ExclusiveCalls,
     orderer: Orderer,
-    /// When this voter last read the list because the shared one was too old.
-    last_follower_read: Option<Instant>,
     order_calls: ExclusiveCalls,
     lease_replies: Vec<(LeaseKind, Instant, PendingReply)>,
     release_replies: Vec<PendingReply>,
@@ -241,13 +229,6 @@
     })
 }
 
-/// Returns the interval between two reads of a list of `count` endpoints by a voter, so that all voters together stay
-/// below the `rate` of calls per second that the platform accepts.
-pub fn follower_read_interval(count: usize, rate: f64) -> Duration {
-    let calls = PLANNED_VOTERS * (count / PLANNED_PAGE + 1) as f64;
-    Duration::from_secs_f64(calls / (rate * discovery::RATE_SHARE).max(0.1)).max(LIST_INTERVAL)
-}
-
 impl Runner {
     fn run(mut self, stop_signal: &Receiver<Instant>) {
         loop {
@@ -263,8 +244,6 @@
                 if self.config.orders {
                     self.order_endpoints();
                 }
-            } else {
-                self.read_for_pollers(self.config.clock.now());
             }
         }
     }
@@ -334,23 +313,6 @@
         }
     }
 
-    /// Reads the list on a voter that relays one which is too old, because the leader's reads fail or there is no
-    /// leader. The instances of a large fleet can't all read it at the rate that the platform accepts.
-    fn read_for_pollers(&mut self, now: Instant) {
-        let control = &self.config.control;
-        let list = control.endpoint_list();
-        if control.instance_count() < MAX_DIRECT_POLLERS || !list.lacks_leader(now) {
-            return;
-        }
-        let interval = follower_read_interval(list.published_count(), self.config.rate);
-        let last_read = self.last_follower_read;
-        if last_read.is_none_or(|at| now.saturating_duration_since(at) >= interval) {
-            self.last_follower_read = Some(now);
-            tracing::info!("reads the endpoint list, as the leader's is too old");
-            self.read_list(now);
-        }
-    }
-
     fn read_list(&mut self, now: Instant) {
         let orderer = &mut self.orderer;
         for (started_at, result) in orderer.list_reader.results() {
