Show a stream that is broken off since no retry is left for its return

A stopping entry lets a stream leave an engine that preempted it, for which it pays one retry, and the other engine is full. The way back takes a second retry, which the entry's share of the budget does not hold, so the stream ends although its own engine would have gone on.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::http;
 use crate::world::{Client, KEY, Listed, World, ZONES, document};
 
 /// Events of a cut plan and of a fitter's query, as the sheet states their means.
@@ -20,11 +21,13 @@
 
 /// Plays a case and returns whether the rule held.
 pub fn play(case: &str, record: &str, folder: &str, trouble: bool) -> io::Result<bool> {
-    let mut world = World::start(Path::new(folder).to_owned(), record, 5, 2)?;
+    let entries = if case == "silent" { 8 } else { 2 };
+    let mut world = World::start(Path::new(folder).to_owned(), record, 5, entries)?;
     world.note(&format!("case {case}, trouble {trouble}"));
     let held = match case {
         "reclaimed" => reclaimed(&mut world, trouble),
         "reborn" => reborn(&mut world, trouble),
+        "silent" => silent(&mut world, trouble),
         _ => Err(fail("unknown case")),
     }?;
     world.note(if held { "verdict: the rule held" } else { "verdict: the rule was broken" });
@@ -86,8 +89,8 @@
     }
 }
 
-fn stream(client: &Client, kind: &str, events: u64, id: &str) -> Seen {
-    let answer = client.send(&format!("/{kind}/{events}-{PAUSE_MS}"), id).unwrap_or_default();
+fn stream(client: &Client, kind: &str, events: u64, form: &str, id: &str) -> Seen {
+    let answer = client.send(&format!("/{kind}/{events}-{form}"), id).unwrap_or_default();
     let text = answer.text();
     // An event counts only with the empty line that ends it.
     let whole = text.rsplit_once("\n\n").map_or("", |(whole, _)| whole);
@@ -110,7 +113,7 @@
         for (kind, events) in kinds.iter().copied() {
             let client = world.client(entry, KEY, 15_000);
             let id = format!("{kind}-{entry}-{n}");
-            open.push(thread::spawn(move || stream(&client, kind, events, &id)));
+            open.push(thread::spawn(move || stream(&client, kind, events, &PAUSE_MS.to_string(), &id)));
         }
         thread::sleep(Duration::from_millis(50));
     }
@@ -187,3 +190,40 @@
     }
     judge(world, open)
 }
+
+/// An entry stops as planned while an engine preempts its newest streams for 2 s, as its memory has run out, and the other
+/// engines are full. All streams would end within 4.5 s after SIGTERM.
+fn silent(world: &mut World, trouble: bool) -> io::Result<bool> {
+    prepare(world, "none")?;
+    // The entry's share of the retry budget fills within a window.
+    thread::sleep(Duration::from_secs(12));
+    let mut open = Vec::new();
+    for n in 0..48 {
+        let client = world.client(1, KEY, 12_000);
+        let id = format!("query-{n}");
+        open.push(thread::spawn(move || stream(&client, "query", QUERY_EVENTS, "60-c", &id)));
+        thread::sleep(Duration::from_millis(10));
+    }
+    thread::sleep(Duration::from_millis(300));
+    world.signal("edge-1", "TERM");
+    thread::sleep(Duration::from_millis(300));
+    if trouble {
+        for n in 0..8u8 {
+            let word = if n == 0 { "preempt/2000" } else { "full/3000" };
+            let engine = world.address(150 + n, 8080);
+            http::call(engine, "GET", &format!("/control/{word}"), &[], b"", Duration::from_secs(1))?;
+        }
+    }
+    let (mut whole, mut cut) = (0, 0);
+    for thread in open {
+        let seen = thread.join().map_err(|_| fail("a client ended by a panic"))?;
+        if seen.status == 200 && seen.is_complete && seen.last == seen.events {
+            whole += 1;
+        } else {
+            cut += 1;
+            world.note(&format!("LOST: {} status {} ends after event {} of {}", seen.id, seen.status, seen.last, seen.events));
+        }
+    }
+    world.note(&format!("streams: {whole} whole, {cut} cut"));
+    Ok(cut == 0)
+}
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -267,7 +267,7 @@
 fn note(record: &Mutex<fs::File>, text: &str) {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let mut record = record.lock().expect("no panic");
-    let _ = writeln!(record, "{:.3} {text}", now.as_secs_f64());
+    let _ = record.write_all(format!("{:.3} {text}\n", now.as_secs_f64()).as_bytes());
 }
 
 /// A client that uses a new connection for each request.
