--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -159,6 +159,11 @@
                 leaving.push(listed.id.clone());
             }
         });
+        // The others are full: they take neither copies of runs nor new requests.
+        for n in (0..8u8).filter(|n| !leaving.contains(&format!("i-llm{n}"))) {
+            let engine = world.address(150 + n, 8080);
+            http::call(engine, "GET", "/control/full/12000", &[], b"", Duration::from_secs(1))?;
+        }
         thread::sleep(gone.saturating_duration_since(Instant::now()));
         for id in &leaving {
             world.kill(id);
--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -60,7 +60,7 @@
                 return Ok(true);
             }
             ("POST", "/v1/kv-move") => {
-                // The other engines have no room, so the run goes on here.
+                // The cases call this only while the other engines are full, so the run goes on here.
                 http::respond(out, "503 No room", "", "{}")?;
                 return Ok(true);
             }
