Keep the call at a silent endpoint until its successor answers

Cause: the relay closed the connection to the silent endpoint before the successor was asked. One retry paid for the way there. Whatever the successor did, the stream could come back only as a new attempt, with a second retry.

Now the call at the silent endpoint goes on while the successor is asked. If that fails, the stream stays there, which needs no retry and no new arrival. It is the same for an endpoint that was to continue a stream and has sent nothing yet, which is why a call that was sent is a value of its own (PendingCall) that can be set aside and taken up again. A stream that stays remembers that its run may have been stopped for a move.

The tests in test_silent_endpoint, one cell each, on: stream_stays_when_successor_fails, stream_stays_during_stop, stream_continues_during_overlap and stream_stays_at_second_engine FAILED (is_whole: false, expected true); stream_leaves_when_successor_answers and caller_leaves_during_overlap passed and guard the change. With it all pass. stopped_run_stays_incomplete fails if the stream that stays forgets the stopped run (trial: (200, true) for (200, false)). stream_returns_when_successor_fails keeps its check of three arrivals; its successor now fails after 500 ms, as one that fails at once no longer costs the third.

--- a/lib/src/forward_call.rs
+++ b/lib/src/forward_call.rs
@@ -1,5 +1,8 @@
 //! A call of a forwarded request to an endpoint: where it starts, how its end is recorded, and what it gave.
 
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -13,6 +16,7 @@
 use crate::fleet::Choice;
 use crate::forward::Forwarder;
 use crate::upstream;
+use crate::upstream::CallError;
 
 /// Point from which an attempt continues the response; the default is the beginning.
 #[derive(Default)]
@@ -21,8 +25,20 @@
     pub is_started: bool,
     /// ID of the last event that the caller received.
     pub last_event_id: Option<String>,
-    /// Run that the attempt continues at an endpoint which was selected already.
-    pub moved: Option<MovedRun>,
+    /// Where the attempt is made.
+    pub target: Target,
+}
+
+/// Where an attempt is made.
+#[derive(Default)]
+pub(crate) enum Target {
+    /// At an endpoint that is yet to be selected.
+    #[default]
+    Any,
+    /// At an endpoint that was selected already.
+    Reserved(Box<MovedRun>),
+    /// At the endpoint of a call that was set aside.
+    Pending(Box<PendingCall>),
 }
 
 /// A run and the endpoint at which it continues.
@@ -30,11 +46,32 @@
     pub guard: CallGuard,
     /// Copy of the stopped run, or `None` if it starts again after the last event.
     pub copy: Option<RunCopy>,
-    /// The endpoint that had the run before, if it continues elsewhere: one that stopped it and still holds
-    /// it, or one that was silent.
+    /// The endpoint that stopped the run and still holds it, if it continues elsewhere.
     pub origin: Option<Choice>,
 }
 
+/// The head and the first body chunk of a response, or why there is none.
+pub(crate) type FirstChunk = Result<(upstream::Answer, io::Result<Option<Bytes>>), CallError>;
+
+/// A call that was sent and of whose response nothing has arrived yet.
+///
+/// It goes on while it is not polled, and ends when it is dropped.
+pub(crate) struct PendingCall {
+    pub guard: CallGuard,
+    pub exchange: Pin<Box<dyn Future<Output = FirstChunk> + Send>>,
+    /// Whether it continues a run from its copy, which belongs to the same attempt.
+    pub is_copied: bool,
+    /// Whether it was set aside, so that its attempt was counted already.
+    pub is_counted: bool,
+}
+
+impl PendingCall {
+    /// Returns whether the call is an attempt that has yet to be counted.
+    pub(crate) fn is_new(&self) -> bool {
+        !self.is_copied && !self.is_counted
+    }
+}
+
 /// Guard of a call to an endpoint, which records the end of the call exactly once.
 pub(crate) struct CallGuard {
     forwarder: Arc<Forwarder>,
@@ -125,6 +162,8 @@
     pub guard: CallGuard,
     /// First chunk of the body, or `None` if the body is empty.
     pub first: Option<Bytes>,
+    /// Whether the endpoint may have stopped the run, since a call that was to stop it has no outcome.
+    pub may_be_stopped: bool,
 }
 
 /// Result of an attempt that gave no usable response.
@@ -133,8 +172,8 @@
     Answered(Box<StartedResponse>, CallOutcome),
     /// The endpoint sent no usable response.
     NoResponse(CallOutcome),
-    /// The endpoint is silent, and the request continues at another one, where the call is reserved.
-    Silent(Box<MovedRun>),
+    /// The endpoint is silent, and another one, where a call is reserved, may go on with the request.
+    Silent(Box<PendingCall>, Box<MovedRun>),
     /// The deadline of the request has passed.
     DeadlinePassed,
 }
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -30,8 +30,11 @@
 use crate::forward::Forwarder;
 use crate::forward_call::CallGuard;
 use crate::forward_call::Failure;
+use crate::forward_call::FirstChunk;
+use crate::forward_call::PendingCall;
 use crate::forward_call::StartPoint;
 use crate::forward_call::StartedResponse;
+use crate::forward_call::Target;
 use crate::ids::ClassId;
 use crate::ids::EndpointId;
 use crate::ids::ServiceId;
@@ -124,6 +127,9 @@
     )
 }
 
+/// Result of an attempt: a response, why the endpoint gave none, or the refusal if there was no endpoint.
+pub(crate) type AttemptResult = Result<Result<StartedResponse, Failure>, Refusal>;
+
 /// A request that is being forwarded.
 pub(crate) struct Job {
     pub forwarder: Arc<Forwarder>,
@@ -195,7 +201,7 @@
                 Failure::DeadlinePassed => return Err(ResultCode::EndpointTimeout.into()),
                 Failure::Answered(_, outcome) | Failure::NoResponse(outcome) => *outcome,
                 // Only started responses wait for a successor.
-                Failure::Silent(_) => CallOutcome::Broken,
+                Failure::Silent(..) => CallOutcome::Broken,
             };
             self.may_have_run |= !has_not_run(outcome);
             if self.take_retry(outcome) {
@@ -364,10 +370,7 @@
     }
 
     /// Sends the request to an endpoint and waits for the first chunk of the response.
-    pub(crate) async fn attempt(
-        &mut self,
-        start_point: StartPoint,
-    ) -> Result<Result<StartedResponse, Failure>, Refusal> {
+    pub(crate) async fn attempt(&mut self, start_point: StartPoint) -> AttemptResult {
         let left = self.time_left();
         if left < MIN_ATTEMPT_TIME {
             return Ok(Err(Failure::DeadlinePassed));
@@ -375,46 +378,51 @@
         let StartPoint {
             is_started,
             last_event_id,
-            moved,
+            target,
         } = start_point;
         if !is_started {
             self.check_stop()?;
         }
-        let (mut guard, copy) = match moved {
+        let mut call = match target {
             // The zone was evacuated after the endpoint was chosen; the call was not sent.
-            Some(moved) if self.forwarder.is_evacuated(&moved.guard.choice.listed.zone) => {
+            Target::Reserved(run) if self.forwarder.is_evacuated(&run.guard.choice.listed.zone) => {
                 return Ok(Err(Failure::NoResponse(CallOutcome::Refused)));
             }
-            Some(moved) => (moved.guard, moved.copy),
-            None => (self.start_call()?, None),
+            Target::Reserved(run) => {
+                self.start_exchange(run.guard, last_event_id.as_deref(), run.copy.as_ref())
+            }
+            Target::Pending(call) => *call,
+            Target::Any => self.start_exchange(self.start_call()?, last_event_id.as_deref(), None),
+        };
+        let is_new = call.is_new();
+        let result = match self.exchange_in_time(&mut call, is_started).await {
+            Ok(result) => result,
+            Err(next) => {
+                self.attempts += u32::from(is_new);
+                call.is_counted = true;
+                return Ok(Err(Failure::Silent(Box::new(call), Box::new(next))));
+            }
         };
-        let result = self
-            .exchange_in_time(
-                &mut guard,
-                is_started,
-                last_event_id.as_deref(),
-                copy.as_ref(),
-            )
-            .await;
+        let mut guard = call.guard;
         let outcome = match &result {
             Ok(_) => None,
             Err(Failure::Answered(_, outcome) | Failure::NoResponse(outcome)) => Some(*outcome),
-            Err(Failure::Silent(_)) => Some(CallOutcome::Broken),
+            Err(Failure::Silent(..)) => Some(CallOutcome::Broken),
             Err(Failure::DeadlinePassed) => Some(CallOutcome::Cancelled),
         };
         if let Some(outcome) = outcome {
             guard.end(outcome);
             self.excluded.push(guard.choice.listed.id.clone());
         }
-        // Continuing a run from its copy belongs to the same attempt.
-        if outcome != Some(CallOutcome::Unreachable) && copy.is_none() {
-            self.attempts += 1;
+        if outcome != Some(CallOutcome::Unreachable) {
+            self.attempts += u32::from(is_new);
         }
         self.log_attempt(&guard, outcome);
         Ok(result.map(|(answer, first)| StartedResponse {
             answer,
             guard,
             first,
+            may_be_stopped: false,
         }))
     }
 
@@ -451,7 +459,7 @@
     }
 
     /// Records an attempt in the metrics and the log; `outcome` is `None` if a response has started.
-    fn log_attempt(&self, guard: &CallGuard, outcome: Option<CallOutcome>) {
+    pub(crate) fn log_attempt(&self, guard: &CallGuard, outcome: Option<CallOutcome>) {
         let took = self.now().saturating_duration_since(guard.sent);
         let metrics = &self.forwarder.settings.metrics;
         metrics.first(&self.service, took);
@@ -496,15 +504,15 @@
         );
     }
 
-    /// Sends the request to the endpoint of `guard` and reads the head and the first body chunk of the
-    /// response.
-    pub(crate) async fn exchange(
+    /// Starts to send the request to the endpoint of `guard` and to read the head and the first body chunk of
+    /// the response.
+    fn start_exchange(
         &self,
-        guard: &mut CallGuard,
+        guard: CallGuard,
         last_event_id: Option<&str>,
         copy: Option<&RunCopy>,
-    ) -> Result<(upstream::Answer, Option<Bytes>), Failure> {
-        let dialect = self.forwarder.settings.dialect.clone();
+    ) -> PendingCall {
+        let dialect = &self.forwarder.settings.dialect;
         let mut headers = self.headers.clone();
         let listed = &guard.choice.listed;
         dialect.set_forwarded_headers(
@@ -520,20 +528,42 @@
                 copy,
             },
         );
-        let call = Call {
-            address: listed.address,
-            method: self.method.clone(),
-            path: &self.target,
-            headers,
-            body: self.body.clone(),
-            pooled: true,
-            echo: Some(Echo {
-                name: dialect.request_id_header(),
-                value: &self.info.id,
-            }),
-        };
-        let mut answer = match self.client.send(call).await {
-            Ok(answer) => answer,
+        let (client, address) = (self.client.clone(), listed.address);
+        let (method, target, body) = (self.method.clone(), self.target.clone(), self.body.clone());
+        let (id_header, id) = (dialect.request_id_header(), self.info.id.clone());
+        let exchange = Box::pin(async move {
+            let call = Call {
+                address,
+                method,
+                path: &target,
+                headers,
+                body,
+                pooled: true,
+                echo: Some(Echo {
+                    name: id_header,
+                    value: &id,
+                }),
+            };
+            let mut answer = client.send(call).await?;
+            let first = answer.next().await;
+            Ok((answer, first))
+        });
+        PendingCall {
+            guard,
+            exchange,
+            is_copied: copy.is_some(),
+            is_counted: false,
+        }
+    }
+
+    /// Decides whether what an endpoint sent is a usable response.
+    pub(crate) fn check_response(
+        &self,
+        guard: &mut CallGuard,
+        response: FirstChunk,
+    ) -> Result<(upstream::Answer, Option<Bytes>), Failure> {
+        let (answer, first) = match response {
+            Ok(response) => response,
             Err(CallError::Unreachable(error)) => {
                 tracing::info!(request = self.info.id, %error, "endpoint unreachable");
                 return Err(Failure::NoResponse(CallOutcome::Unreachable));
@@ -543,13 +573,14 @@
                 return Err(Failure::NoResponse(CallOutcome::Broken));
             }
         };
+        let dialect = &self.forwarder.settings.dialect;
         let response_info = dialect.response_info(answer.status, &answer.headers);
         let is_success = (200..300).contains(&answer.status);
         guard.stated_limit = response_info.limit.rate();
         if guard.stated_limit.is_some() {
             self.forwarder.settings.metrics.limited(&self.service);
         }
-        let first = match answer.next().await {
+        let first = match first {
             Ok(first) => first,
             // The head states that the request was not executed, whatever becomes of the body.
             Err(_) if response_info.refused || response_info.misdirected => None,
@@ -624,6 +655,7 @@
             answer,
             guard,
             first,
+            may_be_stopped: false,
         };
         Err(Failure::Answered(Box::new(started), outcome))
     }
--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -28,9 +28,11 @@
 use crate::forward_call::MovedRun;
 use crate::forward_call::StartPoint;
 use crate::forward_call::StartedResponse;
+use crate::forward_call::Target;
 use crate::forward_job::Job;
 use crate::forward_job::has_not_run;
 use crate::forward_stall::SilenceTimer;
+use crate::forward_stall::SilentCall;
 use crate::hand_over::COPY_TIMEOUT;
 use crate::hand_over::MoveOutcome;
 use crate::hand_over::RunCopier;
@@ -53,7 +55,7 @@
     Complete,
     /// The response was interrupted.
     Broken,
-    /// The endpoint is silent, and the stream continues at another one, where the call is reserved.
+    /// The endpoint is silent, and another one, where a call is reserved, may go on with the stream.
     Silent(Box<MovedRun>),
     /// The run was stopped and continues from its copy.
     Moved(Box<MovedRun>),
@@ -88,6 +90,24 @@
     }
 }
 
+/// Why a stream has to continue after its last complete event.
+enum Interruption {
+    /// Its endpoint broke off.
+    Broken,
+    /// Its endpoint is silent; a call is reserved at another one.
+    Silent(SilentCall, Box<MovedRun>),
+    /// The run was stopped for a move.
+    Moved(Box<MovedRun>),
+}
+
+/// Where a stream continues.
+enum Continuation {
+    /// At its endpoint, as if it had not been interrupted.
+    InPlace(StartedResponse),
+    /// With a response that begins after its last complete event.
+    Elsewhere(StartedResponse),
+}
+
 /// A move of a run to another endpoint that is in progress.
 type PendingMove = Pin<Box<dyn Future<Output = MoveEnd> + Send>>;
 
@@ -99,15 +119,9 @@
             let outcome = self
                 .relay_response(&mut started, &sender, &mut framer)
                 .await;
-            started.guard.end(match outcome {
-                RelayEnd::Complete => CallOutcome::Served,
-                RelayEnd::Broken | RelayEnd::Silent(_) => CallOutcome::Broken,
-                RelayEnd::Moved(_) | RelayEnd::Disconnected | RelayEnd::DeadlinePassed => {
-                    CallOutcome::Cancelled
-                }
-            });
-            let (reason, moved) = match outcome {
+            let (reason, interruption) = match outcome {
                 RelayEnd::Complete => {
+                    started.guard.end(CallOutcome::Served);
                     sender.complete();
                     let response_time = self.now().saturating_duration_since(started.guard.sent);
                     let answer = &started.answer;
@@ -121,23 +135,35 @@
                     drop(started);
                     break "the deadline has passed";
                 }
-                RelayEnd::Broken => ("the endpoint broke off", None),
-                RelayEnd::Silent(next) => ("the endpoint was silent", Some(*next)),
-                RelayEnd::Moved(moved) => ("the run was stopped for a move", Some(*moved)),
+                RelayEnd::Broken => {
+                    started.guard.end(CallOutcome::Broken);
+                    drop(started);
+                    ("the endpoint broke off", Interruption::Broken)
+                }
+                RelayEnd::Silent(next) => {
+                    let call = SilentCall::Started(Box::new(started));
+                    ("the endpoint was silent", Interruption::Silent(call, next))
+                }
+                RelayEnd::Moved(run) => {
+                    drop(started);
+                    ("the run was stopped for a move", Interruption::Moved(run))
+                }
             };
-            drop(started);
             let next = tokio::select! {
-                next = self.resume(&framer, moved) => next,
+                next = self.resume(&framer, interruption) => next,
                 () = sender.closed() => {
                     tracing::info!(request = self.info.id, "caller disconnected");
                     return;
                 }
             };
-            match next {
-                Some(next) => started = next,
+            started = match next {
+                Some(Continuation::InPlace(response)) => response,
+                Some(Continuation::Elsewhere(response)) => {
+                    framer.restart();
+                    response
+                }
                 None => break reason,
-            }
-            framer.restart();
+            };
         };
         tracing::info!(
             request = self.info.id,
@@ -204,7 +230,10 @@
         let mut changes = self.forwarder.settings.changes.clone();
         let mut is_watching = is_movable;
         let mut pending_move: Option<PendingMove> = None;
-        let mut last_move = MoveEnd::InPlace;
+        let mut last_move = match started.may_be_stopped {
+            true => MoveEnd::Unknown,
+            false => MoveEnd::InPlace,
+        };
         let mut chunk = started.first.take();
         let stall_timeout = match is_resumable {
             true => self.stall_timeout(&started.guard.choice, self.attempts),
@@ -251,8 +280,7 @@
                 && let Some(next) =
                     self.reserve_successor(&started.guard.choice, self.attempts, &mut silence)
             {
-                self.excluded.push(started.guard.choice.listed.id.clone());
-                self.log_interruption(&started.guard, &"no whole event in time");
+                started.may_be_stopped = matches!(last_move, MoveEnd::Unknown);
                 return RelayEnd::Silent(Box::new(next));
             }
             let deadline = silence.next_check(Instant::now() + left);
@@ -431,12 +459,13 @@
         }))
     }
 
-    /// Continues the stream after the last complete event, from the copy of the run or in a new attempt.
+    /// Continues the stream after the last complete event: from the copy of the run, in a new attempt, or at its
+    /// silent endpoint if the successor fails.
     async fn resume(
         &mut self,
         framer: &EventFramer,
-        moved: Option<MovedRun>,
-    ) -> Option<StartedResponse> {
+        interruption: Interruption,
+    ) -> Option<Continuation> {
         if !framer.is_resumable() {
             tracing::info!(
                 request = self.info.id,
@@ -446,30 +475,54 @@
         }
         let last_event_id = framer.last().map(str::to_owned);
         let mut outcome = CallOutcome::Broken;
-        let mut moved = moved;
-        let mut origin = moved
-            .as_mut()
-            .and_then(|run| Some((run.origin.take()?, run.copy.clone())));
-        while moved.is_some() || (self.is_resumable() && self.take_retry(outcome)) {
+        let (mut target, mut silent, mut origin) = match interruption {
+            Interruption::Broken => (None, None, None),
+            Interruption::Silent(call, next) => (Some(Target::Reserved(next)), Some(call), None),
+            Interruption::Moved(mut run) => {
+                let origin = run.origin.take().map(|origin| (origin, run.copy.clone()));
+                (Some(Target::Reserved(run)), None, origin)
+            }
+        };
+        while target.is_some() || (self.is_resumable() && self.take_retry(outcome)) {
             let start_point = StartPoint {
                 is_started: true,
                 last_event_id: last_event_id.clone(),
-                moved: moved.take(),
+                target: target.take().unwrap_or_default(),
             };
-            outcome = match self.attempt(start_point).await {
-                Ok(Ok(started)) => return Some(started),
+            let result = match silent.take() {
+                None => self.attempt(start_point).await,
+                Some(call) => {
+                    let left = call.choice().clone();
+                    let (result, kept) = self.attempt_beside(call, start_point).await;
+                    match (&result, kept) {
+                        (Ok(Ok(_)), _) => {}
+                        (_, Some(SilentCall::Started(response))) => {
+                            return Some(Continuation::InPlace(*response));
+                        }
+                        (_, Some(SilentCall::Pending(call))) => {
+                            target = Some(Target::Pending(call));
+                            continue;
+                        }
+                        // It may have been busy.
+                        (_, None) => origin = origin.or(Some((left, None))),
+                    }
+                    result
+                }
+            };
+            outcome = match result {
+                Ok(Ok(started)) => return Some(Continuation::Elsewhere(started)),
                 Ok(Err(Failure::Answered(_, outcome) | Failure::NoResponse(outcome))) => outcome,
-                Ok(Err(Failure::Silent(next))) => {
-                    moved = Some(*next);
-                    CallOutcome::Broken
+                Ok(Err(Failure::Silent(call, next))) => {
+                    silent = Some(SilentCall::Pending(call));
+                    target = Some(Target::Reserved(next));
+                    continue;
                 }
                 Ok(Err(Failure::DeadlinePassed)) | Err(_) => return None,
             };
             // The endpoint that was to continue the run has not done so. The one that stopped it still holds
             // it, and one that was silent may have been busy.
             let may_return = |origin: &Choice, copy: &Option<RunCopy>| {
-                moved.is_none()
-                    && (has_not_run(outcome) || copy.is_none())
+                (has_not_run(outcome) || copy.is_none())
                     && !self.forwarder.is_evacuated(&origin.listed.zone)
             };
             if let Some((origin, copy)) = origin.take_if(|(origin, copy)| may_return(origin, copy))
@@ -481,11 +534,11 @@
                     outcome = outcome.name(),
                     "the run returns to its endpoint"
                 );
-                moved = Some(MovedRun {
+                target = Some(Target::Reserved(Box::new(MovedRun {
                     guard: CallGuard::start(&self.forwarder, &self.prints, origin),
                     copy,
                     origin: None,
-                });
+                })));
             }
         }
         None
--- a/lib/src/forward_response.rs
+++ b/lib/src/forward_response.rs
@@ -38,6 +38,7 @@
             mut answer,
             mut guard,
             first,
+            may_be_stopped,
         } = started;
         let (status, headers) = (answer.status, end_to_end_headers(&answer.headers));
         let mut buffered = first.map_or_else(Vec::new, Vec::from);
@@ -82,6 +83,7 @@
                     answer,
                     guard,
                     first: Some(buffered.into()),
+                    may_be_stopped,
                 };
                 Ok(self.stream(started))
             }
