Give the return of a run a function of its own

Continuing a stream held the decision on a return in its loop, which the calls that are set aside had made longer. The field for a stop without an outcome has a name of two words.

--- a/lib/src/forward_call.rs
+++ b/lib/src/forward_call.rs
@@ -162,8 +162,8 @@
     pub guard: CallGuard,
     /// First chunk of the body, or `None` if the body is empty.
     pub first: Option<Bytes>,
-    /// Whether the endpoint may have stopped the run, since a call that was to stop it has no outcome.
-    pub may_be_stopped: bool,
+    /// Whether a call that was to stop the run has no outcome, so that the endpoint may have stopped it.
+    pub stop_unknown: bool,
 }
 
 /// Result of an attempt that gave no usable response.
--- a/lib/src/forward_job.rs
+++ b/lib/src/forward_job.rs
@@ -422,7 +422,7 @@
             answer,
             guard,
             first,
-            may_be_stopped: false,
+            stop_unknown: false,
         }))
     }
 
@@ -655,7 +655,7 @@
             answer,
             guard,
             first,
-            may_be_stopped: false,
+            stop_unknown: false,
         };
         Err(Failure::Answered(Box::new(started), outcome))
     }
--- a/lib/src/forward_relay.rs
+++ b/lib/src/forward_relay.rs
@@ -230,7 +230,7 @@
         let mut changes = self.forwarder.settings.changes.clone();
         let mut is_watching = is_movable;
         let mut pending_move: Option<PendingMove> = None;
-        let mut last_move = match started.may_be_stopped {
+        let mut last_move = match started.stop_unknown {
             true => MoveEnd::Unknown,
             false => MoveEnd::InPlace,
         };
@@ -280,7 +280,7 @@
                 && let Some(next) =
                     self.reserve_successor(&started.guard.choice, self.attempts, &mut silence)
             {
-                started.may_be_stopped = matches!(last_move, MoveEnd::Unknown);
+                started.stop_unknown = matches!(last_move, MoveEnd::Unknown);
                 return RelayEnd::Silent(Box::new(next));
             }
             let deadline = silence.next_check(Instant::now() + left);
@@ -489,26 +489,21 @@
                 last_event_id: last_event_id.clone(),
                 target: target.take().unwrap_or_default(),
             };
-            let result = match silent.take() {
-                None => self.attempt(start_point).await,
-                Some(call) => {
-                    let left = call.choice().clone();
-                    let (result, kept) = self.attempt_beside(call, start_point).await;
-                    match (&result, kept) {
-                        (Ok(Ok(_)), _) => {}
-                        (_, Some(SilentCall::Started(response))) => {
-                            return Some(Continuation::InPlace(*response));
-                        }
-                        (_, Some(SilentCall::Pending(call))) => {
-                            target = Some(Target::Pending(call));
-                            continue;
-                        }
-                        // It may have been busy.
-                        (_, None) => origin = origin.or(Some((left, None))),
-                    }
-                    result
-                }
+            let left = silent.as_ref().map(|call| call.choice().clone());
+            let (result, kept) = match silent.take() {
+                Some(call) => self.attempt_beside(call, start_point).await,
+                None => (self.attempt(start_point).await, None),
             };
+            match kept {
+                Some(SilentCall::Started(response)) => {
+                    return Some(Continuation::InPlace(*response));
+                }
+                Some(SilentCall::Pending(call)) => {
+                    target = Some(Target::Pending(call));
+                    continue;
+                }
+                None => origin = origin.or(left.map(|choice| (choice, None))),
+            }
             outcome = match result {
                 Ok(Ok(started)) => return Some(Continuation::Elsewhere(started)),
                 Ok(Err(Failure::Answered(_, outcome) | Failure::NoResponse(outcome))) => outcome,
@@ -519,30 +514,38 @@
                 }
                 Ok(Err(Failure::DeadlinePassed)) | Err(_) => return None,
             };
-            // The endpoint that was to continue the run has not done so. The one that stopped it still holds
-            // it, and one that was silent may have been busy.
-            let may_return = |origin: &Choice, copy: &Option<RunCopy>| {
-                (has_not_run(outcome) || copy.is_none())
-                    && !self.forwarder.is_evacuated(&origin.listed.zone)
-            };
-            if let Some((origin, copy)) = origin.take_if(|(origin, copy)| may_return(origin, copy))
-                && (copy.is_some() || self.forwarder.spend_retry(&self.service, RetryChance::High))
-            {
-                tracing::info!(
-                    request = self.info.id,
-                    endpoint = %origin.listed.id,
-                    outcome = outcome.name(),
-                    "the run returns to its endpoint"
-                );
-                target = Some(Target::Reserved(Box::new(MovedRun {
-                    guard: CallGuard::start(&self.forwarder, &self.prints, origin),
-                    copy,
-                    origin: None,
-                })));
-            }
+            target = self.start_return(&mut origin, outcome);
         }
         None
     }
+
+    /// Starts the return of a run to its endpoint after the one that was to continue it has not done so.
+    ///
+    /// The endpoint that stopped the run still holds it, and one that was silent may have been busy.
+    fn start_return(
+        &self,
+        origin: &mut Option<(Choice, Option<RunCopy>)>,
+        outcome: CallOutcome,
+    ) -> Option<Target> {
+        let (choice, copy) = origin.take_if(|(choice, copy)| {
+            (has_not_run(outcome) || copy.is_none())
+                && !self.forwarder.is_evacuated(&choice.listed.zone)
+        })?;
+        if copy.is_none() && !self.forwarder.spend_retry(&self.service, RetryChance::High) {
+            return None;
+        }
+        tracing::info!(
+            request = self.info.id,
+            endpoint = %choice.listed.id,
+            outcome = outcome.name(),
+            "the run returns to its endpoint"
+        );
+        Some(Target::Reserved(Box::new(MovedRun {
+            guard: CallGuard::start(&self.forwarder, &self.prints, choice),
+            copy,
+            origin: None,
+        })))
+    }
 }
 
 /// Waits for the outcome of a pending move.
--- a/lib/src/forward_response.rs
+++ b/lib/src/forward_response.rs
@@ -38,7 +38,7 @@
             mut answer,
             mut guard,
             first,
-            may_be_stopped,
+            stop_unknown,
         } = started;
         let (status, headers) = (answer.status, end_to_end_headers(&answer.headers));
         let mut buffered = first.map_or_else(Vec::new, Vec::from);
@@ -83,7 +83,7 @@
                     answer,
                     guard,
                     first: Some(buffered.into()),
-                    may_be_stopped,
+                    stop_unknown,
                 };
                 Ok(self.stream(started))
             }
